Routing under shifting load: what the gate's time estimate may be used for

Cause: at 75% load with servers that shift every 40 ms, expected time failed 28% of calls (p99 at the deadline) where power of two failed none. Both chased noise: the limit halved capacity, and the time drew every gateway to the same servers. Ruled out: weights of utilisation 0 to 1, memory of load 10 to 100 ms, memory of time 200 to 3,000 ms, more probes; none of them moved it. Failed try, reverted here: the limit on latency (AIMD at twice the best seen).

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -15,3 +15,15 @@
   LoadResult,
   LoadStream,
 } from './load/open_loop';
+export {ABLATION_ARMS, ARMS, BASELINE_ARMS} from './virtual/arms';
+export type {ArmName} from './virtual/arms';
+export {runRoutingExperiment} from './virtual/routing_experiment';
+export type {
+  RoutingExperimentOptions,
+  RoutingRow,
+  Scenario,
+} from './virtual/routing_experiment';
+export {runRoutingTrial} from './virtual/routing_trial';
+export type {RoutingTrial, RoutingTrialOptions} from './virtual/routing_trial';
+export {DISTURBANCES, SITES} from './virtual/scenario';
+export type {Disturbance, Site, SiteName} from './virtual/scenario';
--- a/packages/cli/src/commands/bench/index.ts
+++ b/packages/cli/src/commands/bench/index.ts
@@ -1,16 +1,9 @@
 /** `goldcresthill bench`: experiments. */
-import {command, subcommands} from 'cmd-ts';
-import {print} from '../../output';
-
-const placeholder = command({
-  name: 'list',
-  description: 'List the experiments.',
-  args: {},
-  handler: () => print('none yet'),
-});
+import {subcommands} from 'cmd-ts';
+import {routingCommand} from './routing';
 
 export const benchCommand = subcommands({
   name: 'bench',
   description: 'Experiments.',
-  cmds: {list: placeholder},
+  cmds: {routing: routingCommand},
 });
--- a/packages/gate/src/adaptive_limit.ts
+++ b/packages/gate/src/adaptive_limit.ts
@@ -1,15 +1,9 @@
-/** Limit on concurrent requests that shrinks when the server slows down under them. */
+/** Limit on concurrent requests: the slots, less while the server is cold or sheds. */
 import type {Millis} from '@goldcresthill/types';
 
-/** Shortest stretch between two changes, milliseconds. */
-const WINDOW_MS = 50;
-/** Latency over the best seen that counts as congestion. */
-const CONGESTED_RATIO = 2;
+/** Shortest stretch between two raises, milliseconds. */
+const RAISE_EVERY_MS = 50;
 const SHRINK = 0.9;
-/** The limit never falls below this share of the slots. */
-const FLOOR_SHARE = 0.5;
-/** How fast the best latency seen is forgotten, share per window. */
-const FORGET = 0.002;
 /** Share of the slots a cold server is given at first. */
 const COLD_SHARE = 0.2;
 
@@ -22,30 +16,27 @@
   readonly adaptive?: boolean;
 }
 
-/** Additive increase and multiplicative decrease, below the slots, with a warm-up ramp. */
+/** Shrinks when the server sheds, as its slots were then misreported, and grows back by ones. */
 export class AdaptiveLimit {
-  private readonly options: AdaptiveLimitOptions;
   private limit: number;
-  private bestMs = Infinity;
-  private changedAt: Millis;
+  private raisedAt: Millis;
 
-  constructor(options: AdaptiveLimitOptions) {
-    this.options = options;
+  constructor(private readonly options: AdaptiveLimitOptions) {
     this.limit = options.slots;
-    this.changedAt = options.startedAt;
+    this.raisedAt = options.startedAt;
   }
 
-  /** Takes note of a finished request. A shed answer is congestion whatever its latency. */
-  observe(now: Millis, tookMs: number, averageMs: number, shed: boolean): void {
+  /** Takes note of a finished request; `running` counts it. */
+  observe(now: Millis, shed: boolean, running: number): void {
     if (this.options.adaptive === false) return;
-    if (!shed) this.bestMs = Math.min(this.bestMs, Math.max(tookMs, averageMs));
-    if (now - this.changedAt < WINDOW_MS) return;
-    this.changedAt = now;
-    this.bestMs *= 1 + FORGET;
-    const congested = shed || averageMs > CONGESTED_RATIO * this.bestMs;
-    this.limit = congested ? this.limit * SHRINK : this.limit + 1;
-    const floor = Math.max(1, this.options.slots * FLOOR_SHARE);
-    this.limit = Math.min(this.options.slots, Math.max(floor, this.limit));
+    if (shed) {
+      this.limit = Math.max(1, Math.min(this.limit, running) * SHRINK);
+      this.raisedAt = now;
+      return;
+    }
+    if (now - this.raisedAt < RAISE_EVERY_MS) return;
+    this.raisedAt = now;
+    this.limit = Math.min(this.options.slots, this.limit + 1);
   }
 
   /** Requests that may run at once now; at least one, at most the slots. */
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -14,7 +14,7 @@
 export interface GateOptions {
   readonly slots: number;
   readonly rules: ServiceRules;
-  /** Off: the limit does not follow latency. */
+  /** Off: the limit does not follow what the server sheds. */
   readonly adaptive?: boolean;
   /** Off: the queue does not look at deadlines. */
   readonly deadlineAware?: boolean;
@@ -103,12 +103,7 @@
     this.running.delete(ref);
     if (run.suspect) this.suspects--;
     this.service.finish(now, run.startedAt, outcome === 'ok');
-    this.limit.observe(
-      now,
-      now - run.startedAt,
-      this.service.finishedMs,
-      outcome === 'shed',
-    );
+    this.limit.observe(now, outcome === 'shed', this.running.size + 1);
     return this.advance(now);
   }
 
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -152,7 +152,10 @@
     const {attempt} = command;
     const now = this.env.timers.now();
     const {router, sampled} = this.env;
-    const pick = router.pick(now, command.exclude, sampled);
+    const pick = router.pick(now, command.exclude, {
+      explain: sampled,
+      hedge: command.hedge,
+    });
     if (pick === undefined) {
       this.event({type: 'noServer', attempt});
       return;
--- a/packages/routing/src/expected_time.ts
+++ b/packages/routing/src/expected_time.ts
@@ -32,9 +32,11 @@
 /** Age at which a report of the server's time counts for 1/e, milliseconds. */
 const TIME_MEMORY_MS = 1_000;
 /** Share of the service time added as utilisation goes from 0 to 1. */
-const UTILISATION_WEIGHT = 0.25;
+const UTILISATION_WEIGHT = 0.5;
 /** Service times that one certain error is worth. */
 const ERROR_WEIGHT = 10;
+/** A server is slow when its time is this many times the median. */
+const SLOW_RATIO = 1.5;
 /** Candidates above this number are sampled. */
 const MAX_SCORED = 32;
 /** Servers within this share of the best score are drawn from at random. */
@@ -98,8 +100,11 @@
     if (!this.mechanisms.serverTime || !this.mechanisms.reports)
       return context.medianUs;
     if (report === undefined || report.serviceUs === 0) return context.medianUs;
+    const {medianUs} = context;
+    // Differences within the noise of the estimate would only draw everyone to the same server.
+    if (report.serviceUs < medianUs * SLOW_RATIO) return medianUs;
     const weight = this.weight(context.now - view.reportAt, TIME_MEMORY_MS);
-    return weight * report.serviceUs + (1 - weight) * context.medianUs;
+    return weight * report.serviceUs + (1 - weight) * medianUs;
   }
 
   /** Requests of other gateways at a server: as reported, drifting to the mean with age. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export {ServiceRouter} from './service_router';
 export type {
   Pick,
+  PickOptions,
   PickResult,
   RouterOptions,
   ServerPlace,
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -48,6 +48,14 @@
   readonly scores: Readonly<Record<string, Micros>> | undefined;
 }
 
+/** How to choose. */
+export interface PickOptions {
+  /** Scores of all candidates are wanted. */
+  readonly explain?: boolean;
+  /** A second attempt, which may only use room that nobody needs. */
+  readonly hedge?: boolean;
+}
+
 /** What one attempt taught. */
 export interface PickResult {
   readonly id: string;
@@ -59,6 +67,8 @@
     'answered' | 'serverError' | 'refused' | 'failed' | 'cancelled';
 }
 
+/** A hedged attempt goes to servers below this share of their limit. */
+const HEDGE_UTILISATION = 0.7;
 /** When more than this share is set aside, nothing is. */
 const PANIC_SHARE = 0.5;
 const DEFAULT_MEDIAN_US = 1_000;
@@ -122,9 +132,11 @@
   pick(
     now: Millis,
     exclude: readonly string[] = [],
-    explain = false,
+    options: PickOptions = {},
   ): Pick | undefined {
-    const usable = this.usable(exclude);
+    const {explain = false, hedge = false} = options;
+    const all = this.usable(exclude);
+    const usable = hedge ? all.filter(hasSpareRoom) : all;
     if (usable.length === 0) return undefined;
     const healthy = usable.filter(view => !view.isSetAside(now));
     const setAside = usable.length - healthy.length;
@@ -264,3 +276,8 @@
     this.active = chosen.flatMap(name => this.views.get(name) ?? []);
   }
 }
+
+function hasSpareRoom(view: ServerView): boolean {
+  const reported = (view.report?.inFlight ?? 0) + (view.report?.queued ?? 0);
+  return Math.max(view.own, reported) < view.limit * HEDGE_UTILISATION;
+}
