--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -164,7 +164,6 @@
       queued: this.queue.size,
       limit: this.limit.current(now),
       serviceUs: Math.round(this.service.estimateUs(now)),
-      recentUs: Math.round(this.service.recentUs),
       state: this.status,
     };
   }
--- a/packages/gate/src/service_time.ts
+++ b/packages/gate/src/service_time.ts
@@ -3,7 +3,6 @@
 
 /** Time over which finished requests are averaged, milliseconds. */
 const MEMORY_MS = 500;
-const RECENT_MS = Number(process.env.RM ?? 30);
 const MIN_WEIGHT = 0.002;
 /** A server is stuck when the mean age of its requests is this many averages. */
 const STUCK_RATIO = 4;
@@ -18,7 +17,6 @@
  */
 export class ServiceTime {
   private averageMs: number | undefined;
-  private recentMs = 0;
   private learntAt: Millis = 0;
   private running = 0;
   private sumOfStarts = 0;
@@ -36,7 +34,6 @@
     const took = now - startedAt;
     if (this.averageMs === undefined) {
       this.averageMs = took;
-      this.recentMs = took;
     } else {
       const weight = Math.max(
         MIN_WEIGHT,
@@ -44,11 +41,6 @@
       );
       this.averageMs += weight * (took - this.averageMs);
     }
-    const recentWeight = Math.max(
-      MIN_WEIGHT,
-      1 - Math.exp((this.learntAt - now) / RECENT_MS),
-    );
-    this.recentMs += recentWeight * (took - this.recentMs);
     this.learntAt = now;
   }
 
@@ -67,11 +59,6 @@
     return (age * this.running) / (this.running + PRIOR_REQUESTS);
   }
 
-  /** Average over the last tens of milliseconds; 0 while nothing is known. */
-  get recentUs(): Micros {
-    return this.recentMs * MICROS_PER_MILLI;
-  }
-
   /** Average of finished requests, milliseconds; 0 while nothing is known. */
   get finishedMs(): number {
     return this.averageMs ?? 0;
--- a/packages/routing/src/expected_time.ts
+++ b/packages/routing/src/expected_time.ts
@@ -16,8 +16,6 @@
   readonly serverTime: boolean;
   /** Servers that answer with errors are avoided. */
   readonly errors: boolean;
-  /** How fast a server works off its queue just now counts. */
-  readonly recentTime: boolean;
 }
 
 /** Everything on. */
@@ -27,7 +25,6 @@
   discount: true,
   serverTime: true,
   errors: true,
-  recentTime: true,
 };
 
 /** Age at which a report of load counts for 1/e, milliseconds. */
@@ -38,7 +35,6 @@
 const UTILISATION_WEIGHT = 0.5;
 /** Service times that one certain error is worth. */
 const ERROR_WEIGHT = 10;
-const RECENT_MEMORY_MS = Number(process.env.RMM ?? 30);
 /** A server is slow when its time is this many times the median. */
 const SLOW_RATIO = 1.5;
 /** Candidates above this number are sampled. */
@@ -90,9 +86,7 @@
     const service = this.serviceUs(view, context);
     const limit = Math.max(1, view.limit);
     const load = view.own + this.others(view, context.now, othersMean);
-    const wait =
-      Math.max(0, (load + 1 - limit) / limit) *
-      this.recentUs(view, context, service);
+    const wait = Math.max(0, (load + 1 - limit) / limit) * service;
     const crowding = UTILISATION_WEIGHT * service * Math.min(1, load / limit);
     const network = this.mechanisms.locality ? view.networkUs : 0;
     const errors = this.mechanisms.errors
@@ -101,18 +95,6 @@
     return network + service + wait + crowding + errors;
   }
 
-  /** Time a slot takes to come free, for what waits: the newest estimate counts while it is new. */
-  private recentUs(
-    view: ServerView,
-    context: PolicyContext,
-    service: Micros,
-  ): Micros {
-    const recent = view.report?.recentUs ?? 0;
-    if (!this.mechanisms.recentTime || recent === 0) return service;
-    const weight = this.weight(context.now - view.reportAt, RECENT_MEMORY_MS);
-    return weight * recent + (1 - weight) * service;
-  }
-
   private serviceUs(view: ServerView, context: PolicyContext): Micros {
     const report = view.report;
     if (!this.mechanisms.serverTime || !this.mechanisms.reports)
--- a/packages/types/src/server.ts
+++ b/packages/types/src/server.ts
@@ -14,8 +14,6 @@
   readonly limit: number;
   /** Expected time at the server of one more request, without waiting. */
   readonly serviceUs: Micros;
-  /** The same over the last tens of milliseconds; noisier. */
-  readonly recentUs: Micros;
   readonly state: ServerState;
 }
 
