--- a/packages/attempts/src/ledger.ts
+++ b/packages/attempts/src/ledger.ts
@@ -89,6 +89,26 @@
     return {type: 'admit'};
   }
 
+  /**
+   * Screens an attempt that may be repeated. Only refusals of such attempts are
+   * kept: what was refused must not run when its request arrives again.
+   */
+  screen(id: AttemptId, gateIncarnation: number): Arrival {
+    if (gateIncarnation !== this.options.incarnation) {
+      return {type: 'refuse', kind: 'wrongIncarnation'};
+    }
+    const state = this.stateOf(id);
+    if (state === 'refused') return {type: 'refuse', kind: 'fenced'};
+    if (this.isForgotten(id)) return {type: 'refuse', kind: 'attemptForgotten'};
+    return {type: 'admit'};
+  }
+
+  /** An attempt that may be repeated was refused. */
+  noteRefused(now: Millis, id: AttemptId, kind: ErrorKind): void {
+    if (this.stateOf(id) !== undefined) return;
+    this.add(now, id, 'refused').kind = kind;
+  }
+
   /** The attempt goes to the server now. */
   start(id: AttemptId): void {
     this.move(id, 'running');
@@ -157,9 +177,9 @@
     return this.entries.size;
   }
 
-  private add(now: Millis, id: AttemptId, state: LedgerState): void {
+  private add(now: Millis, id: AttemptId, state: LedgerState): Entry<Answer> {
     if (this.entries.size >= this.maxEntries) this.evict(now);
-    const entry = {
+    const entry: Entry<Answer> = {
       id,
       at: now,
       state,
@@ -168,6 +188,7 @@
       bytes: 0,
     };
     this.entries.set(attemptKey(id), entry);
+    return entry;
   }
 
   private move(id: AttemptId, to: LedgerState): Entry<Answer> {
--- /dev/null
+++ b/packages/bench/src/fleet/capacity_experiment.ts
@@ -0,0 +1,249 @@
+/** Costs of a node at rest and under load, as base and slope. */
+import {fitLine} from '../fit';
+import type {Line} from '../fit';
+import {runLoad} from '../load/open_loop';
+import {callerUrl, Fleet} from './fleet';
+import type {FleetStatus} from './fleet';
+
+/** What an experiment starts from. */
+export interface CapacityExperimentOptions {
+  readonly command: readonly string[];
+  readonly random: () => number;
+  readonly fleetSizes: readonly number[];
+  readonly restSeconds: number;
+  readonly serviceCounts: readonly number[];
+  /** Calls a second into one fleet of three nodes. */
+  readonly rates: readonly number[];
+  readonly loadSeconds: number;
+  readonly onProgress: (line: string) => void;
+}
+
+/** One fleet at rest. */
+export interface RestPoint {
+  readonly nodes: number;
+  readonly cpuPercent: number;
+  readonly rssMegabytes: number;
+  readonly storeCallsPerSecond: number;
+  readonly ticketMs: number;
+}
+
+/** One fleet under load. */
+export interface LoadPoint {
+  readonly perSecond: number;
+  readonly cpuMicrosPerCall: number;
+  readonly rssMegabytes: number;
+  readonly p50Us: number;
+  readonly p99Us: number;
+}
+
+/** Nodes that hold the rules of many services. */
+export interface ServicesPoint {
+  readonly services: number;
+  readonly rssMegabytes: number;
+  readonly configBytes: number;
+  readonly ticketMs: number;
+}
+
+/** What it found. */
+export interface CapacityReport {
+  readonly rest: readonly RestPoint[];
+  readonly services: readonly ServicesPoint[];
+  readonly load: readonly LoadPoint[];
+  readonly lines: Readonly<Record<string, Line>>;
+}
+
+const BYTES_PER_MEGABYTE = 1_048_576;
+const MICROS_PER_PERCENT_SECOND = 10_000;
+const SETTLE_MS = 5_000;
+const LOAD_NODES = 3;
+const TICKETS = 3;
+
+/** Measures all points and fits the lines. */
+export async function runCapacityExperiment(
+  options: CapacityExperimentOptions,
+): Promise<CapacityReport> {
+  const rest: RestPoint[] = [];
+  for (const nodes of options.fleetSizes)
+    rest.push(await measureRest(options, nodes));
+  const services: ServicesPoint[] = [];
+  for (const count of options.serviceCounts) {
+    services.push(await measureServices(options, count));
+  }
+  const load: LoadPoint[] = [];
+  for (const rate of options.rates) load.push(await measureLoad(options, rate));
+  const lines = {
+    'processor at rest, percent of a core, by nodes': fitLine(
+      rest.map(p => [p.nodes, p.cpuPercent]),
+    ),
+    'memory at rest, MB, by nodes': fitLine(
+      rest.map(p => [p.nodes, p.rssMegabytes]),
+    ),
+    'store calls a second of the fleet, by nodes': fitLine(
+      rest.map(p => [p.nodes, p.storeCallsPerSecond]),
+    ),
+    'memory, MB, by services': fitLine(
+      services.map(p => [p.services, p.rssMegabytes]),
+    ),
+    'configuration, bytes, by services': fitLine(
+      services.map(p => [p.services, p.configBytes]),
+    ),
+    'processor per call, µs, by calls a second': fitLine(
+      load.map(p => [p.perSecond, p.cpuMicrosPerCall]),
+    ),
+  };
+  return {rest, services, load, lines};
+}
+
+async function withFleet<T>(
+  options: CapacityExperimentOptions,
+  nodes: number,
+  use: (fleet: Fleet) => Promise<T>,
+): Promise<T> {
+  const service = {
+    name: 'echo',
+    servers: nodes,
+    slots: 50,
+    meanMs: 0,
+    variability: 0,
+  };
+  const fleet = new Fleet({
+    command: options.command,
+    services: [service],
+    domains: ['domain-a', 'domain-b', 'domain-c'],
+  });
+  try {
+    await fleet.start();
+    await fleet.submit(ticketOf(1, 1));
+    await fleet.waitForAll(
+      s =>
+        s.configRevision === 1 &&
+        s.servers.filter(e => e.state === 'up').length === nodes,
+      60_000,
+    );
+    return await use(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+function ticketOf(number: number, services: number): string {
+  const names = [
+    'echo',
+    ...Array.from({length: services - 1}, (_, i) => `service-${i}`),
+  ];
+  const sections = names.map(name => `[service ${name}]\nwarm_up_ms = 0\n`);
+  return `[ticket]\nnumber = ${number}\n${sections.join('')}`;
+}
+
+async function measureRest(
+  options: CapacityExperimentOptions,
+  nodes: number,
+): Promise<RestPoint> {
+  options.onProgress(`${nodes} nodes at rest`);
+  return withFleet(options, nodes, async fleet => {
+    await pause(SETTLE_MS);
+    const before = await fleet.statuses();
+    await pause(options.restSeconds * 1_000);
+    const after = await fleet.statuses();
+    const cpu =
+      total(after, s => s.process.cpuMicros) -
+      total(before, s => s.process.cpuMicros);
+    const calls =
+      total(after, s => s.store.made) - total(before, s => s.store.made);
+    return {
+      nodes,
+      cpuPercent: cpu / options.restSeconds / nodes / MICROS_PER_PERCENT_SECOND,
+      rssMegabytes:
+        total(after, s => s.process.rssBytes) / nodes / BYTES_PER_MEGABYTE,
+      storeCallsPerSecond: calls / options.restSeconds,
+      ticketMs: await timeTickets(fleet, 1),
+    };
+  });
+}
+
+async function timeTickets(fleet: Fleet, services: number): Promise<number> {
+  let longest = 0;
+  for (let i = 0; i < TICKETS; i++) {
+    const revision = i + 2;
+    const startedAt = performance.now();
+    await fleet.submit(ticketOf(revision, services));
+    await fleet.waitForAll(s => s.configRevision >= revision);
+    longest = Math.max(longest, performance.now() - startedAt);
+  }
+  return longest;
+}
+
+async function measureServices(
+  options: CapacityExperimentOptions,
+  services: number,
+): Promise<ServicesPoint> {
+  options.onProgress(`${services} services`);
+  return withFleet(options, LOAD_NODES, async fleet => {
+    const ticketMs = await timeTickets(fleet, services);
+    await pause(SETTLE_MS);
+    const after = await fleet.statuses();
+    const [first] = fleet.members;
+    const res = await fetch(
+      `http://127.0.0.1:${first?.ports.operator}/tickets`,
+    );
+    return {
+      services,
+      rssMegabytes:
+        total(after, s => s.process.rssBytes) /
+        after.length /
+        BYTES_PER_MEGABYTE,
+      configBytes: (await res.text()).length,
+      ticketMs,
+    };
+  });
+}
+
+async function measureLoad(
+  options: CapacityExperimentOptions,
+  perSecond: number,
+): Promise<LoadPoint> {
+  options.onProgress(`${perSecond} calls a second`);
+  return withFleet(options, LOAD_NODES, async fleet => {
+    const before = await fleet.statuses();
+    const [result] = await runLoad({
+      seconds: options.loadSeconds,
+      warmUpSeconds: options.loadSeconds / 4,
+      random: options.random,
+      streams: [
+        {
+          name: 'load',
+          origins: fleet.members.map(callerUrl),
+          perSecond,
+          make: () => ({
+            method: 'GET',
+            path: '/x',
+            headers: {'gh-service': 'echo'},
+          }),
+        },
+      ],
+    });
+    const after = await fleet.statuses();
+    const cpu =
+      total(after, s => s.process.cpuMicros) -
+      total(before, s => s.process.cpuMicros);
+    return {
+      perSecond,
+      cpuMicrosPerCall: cpu / Math.max(1, result?.sent ?? 0),
+      rssMegabytes:
+        Math.max(...after.map(s => s.process.rssBytes)) / BYTES_PER_MEGABYTE,
+      p50Us: result?.latencyUs.p50 ?? 0,
+      p99Us: result?.latencyUs.p99 ?? 0,
+    };
+  });
+}
+
+function total(
+  statuses: readonly FleetStatus[],
+  value: (s: FleetStatus) => number,
+): number {
+  return statuses.reduce((sum, status) => sum + value(status), 0);
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(done => setTimeout(done, ms));
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -32,3 +32,15 @@
   LatencyExperimentOptions,
   LatencyReport,
 } from './fleet/latency_experiment';
+export {fitLine, valueAt} from './fit';
+export type {Line} from './fit';
+export {runCapacityExperiment} from './fleet/capacity_experiment';
+export type {
+  CapacityExperimentOptions,
+  CapacityReport,
+} from './fleet/capacity_experiment';
+export {runSpreadExperiment} from './virtual/spread_experiment';
+export type {
+  SpreadExperimentOptions,
+  SpreadReport,
+} from './virtual/spread_experiment';
--- a/packages/cli/src/commands/bench/index.ts
+++ b/packages/cli/src/commands/bench/index.ts
@@ -1,10 +1,27 @@
 /** `goldcresthill bench`: experiments. */
 import {subcommands} from 'cmd-ts';
+import {capacityCommand} from './capacity';
 import {latencyCommand} from './latency';
 import {routingCommand} from './routing';
+import {spreadCommand} from './spread';
 
 export const benchCommand = subcommands({
   name: 'bench',
   description: 'Experiments.',
-  cmds: {latency: latencyCommand, routing: routingCommand},
+  examples: [
+    {
+      description: 'Compare routing policies',
+      command: 'goldcresthill bench routing',
+    },
+    {
+      description: 'Latency added on this machine',
+      command: 'goldcresthill bench latency',
+    },
+  ],
+  cmds: {
+    capacity: capacityCommand,
+    latency: latencyCommand,
+    routing: routingCommand,
+    spread: spreadCommand,
+  },
 });
--- a/packages/cli/src/commands/soak/index.ts
+++ b/packages/cli/src/commands/soak/index.ts
@@ -1,10 +1,40 @@
 /** `goldcresthill soak`: long randomised runs. */
-import {command} from 'cmd-ts';
-import {print} from '../../output';
+import {runSoak} from '@goldcresthill/trials';
+import {command, number, option} from 'cmd-ts';
+import {EXIT} from '../../exit_codes';
+import {print, printError} from '../../output';
+
+const MILLIS_PER_MINUTE = 60_000;
 
 export const soakCommand = command({
   name: 'soak',
-  description: 'Long randomised runs of the decisions in virtual time.',
-  args: {},
-  handler: () => print('none yet'),
+  description:
+    'Randomised runs of the live decisions in virtual time, until the time is up.',
+  args: {
+    minutes: option({type: number, long: 'minutes', defaultValue: () => 1}),
+    seed: option({type: number, long: 'seed', defaultValue: () => 1_000_000}),
+  },
+  handler: async ({minutes, seed}) => {
+    const end = performance.now() + minutes * MILLIS_PER_MINUTE;
+    const report = await runSoak({
+      seed,
+      goOn: () => performance.now() < end,
+      onProgress: r =>
+        printError(
+          `· ${r.callTrials} trials of calls, ${r.ticketTrials} of tickets`,
+        ),
+    });
+    const {callTrials, ticketTrials, requests, failures} = report;
+    print(
+      `seeds from ${seed}: ${callTrials} trials of calls (${requests} requests), ${ticketTrials} of tickets, ${failures.length} failures`,
+    );
+    for (const failure of failures) {
+      print(`seed ${failure.seed}, ${failure.kind}, ${failure.promise}`);
+      print(
+        `least faults: ${failure.faults.join(', ')}; ${failure.requests} requests`,
+      );
+      print(failure.message);
+    }
+    process.exitCode = failures.length === 0 ? EXIT.ok : EXIT.checkFailed;
+  },
 });
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -112,14 +112,15 @@
     attempt: string,
   ): void {
     const once = header(req, HEADERS.once) === '1';
-    const id = once ? parseAttemptKey(attempt) : undefined;
+    const id = parseAttemptKey(attempt);
     const service = header(req, HEADERS.service);
-    if (service === undefined || (once && id === undefined)) {
+    if (service === undefined || id === undefined) {
       refuse(res, 'badHeader');
       return;
     }
     const request: AttemptRequest = {
       id,
+      once,
       gateIncarnation: Number(header(req, HEADERS.gateIncarnation) ?? 0),
       callId: header(req, HEADERS.callId) ?? '',
       service,
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -146,12 +146,10 @@
   }
 
   private register(req: AttemptRequest): ErrorKind | undefined {
-    if (req.id === undefined) return undefined;
-    const arrival = this.ledger.arrive(
-      this.options.timers.now(),
-      req.id,
-      req.gateIncarnation,
-    );
+    const {id, gateIncarnation} = req;
+    const arrival = req.once
+      ? this.ledger.arrive(this.options.timers.now(), id, gateIncarnation)
+      : this.ledger.screen(id, gateIncarnation);
     return arrival.type === 'refuse' ? arrival.kind : undefined;
   }
 
@@ -164,7 +162,10 @@
   }
 
   private end(req: AttemptRequest, result: AttemptResult): void {
-    if (req.id !== undefined) this.record(req, result);
+    if (req.once) this.record(req, result);
+    else if (result.type === 'refused') {
+      this.ledger.noteRefused(this.options.timers.now(), req.id, result.kind);
+    }
     if (result.type === 'answered') {
       this.options.events.onCompleted(() => fingerprintOf(req));
     } else {
@@ -175,7 +176,6 @@
 
   private record(req: AttemptRequest, result: AttemptResult): void {
     const {id} = req;
-    if (id === undefined) return;
     if (result.type === 'refused') this.ledger.refuse(id, result.kind);
     if (result.type === 'broke') this.ledger.break(id, result.kind);
     if (result.type !== 'answered') return;
@@ -222,7 +222,7 @@
       connections: this.options.connect(announcement),
       events: {
         onStart: req => {
-          if (req.id !== undefined) this.ledger.start(req.id);
+          if (req.once) this.ledger.start(req.id);
         },
         onEnd: (req, result) => this.end(req, result),
         onDied: (dead, fingerprints) => {
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -39,8 +39,9 @@
 
 /** An attempt as it arrives at the gate. */
 export interface AttemptRequest {
-  /** Set for a call that must not be repeated. */
-  readonly id: AttemptId | undefined;
+  readonly id: AttemptId;
+  /** Whether the call must not be repeated. */
+  readonly once: boolean;
   readonly gateIncarnation: number;
   readonly callId: string;
   readonly service: string;
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -293,7 +293,7 @@
       return;
     }
     // What must not be repeated runs to its end, so that its answer can be kept.
-    if (entry.req.id === undefined) entry.exchange?.abort(CANCELLED);
+    if (!entry.req.once) entry.exchange?.abort(CANCELLED);
   }
 
   private refuse(ref: number, kind: ErrorKind): void {
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -438,7 +438,8 @@
     gate.post({
       type: 'attempt',
       req: {
-        id: call.info.repeatable ? undefined : id,
+        id,
+        once: !call.info.repeatable,
         gateIncarnation: address.bootId,
         callId: call.info.callId,
         service: call.info.service,
--- a/packages/trials/src/call/call_world.ts
+++ b/packages/trials/src/call/call_world.ts
@@ -586,7 +586,8 @@
     }
     const deliver = (): void => {
       const req: AttemptRequest = {
-        id: call.info.repeatable ? undefined : id,
+        id,
+        once: !call.info.repeatable,
         gateIncarnation,
         callId: call.info.callId,
         service: SERVICE,
--- a/packages/trials/src/call/call_world_test.ts
+++ b/packages/trials/src/call/call_world_test.ts
@@ -57,6 +57,18 @@
     }
   });
 
+  it('does not run a refused call whose request arrives again', async () => {
+    // Found by a soak: a repeatable call, refused and told so, whose copy came later.
+    for (const seed of [5_011_067, 5_011_068, 5_011_069]) {
+      const faults = new RandomFaults(
+        seededRandom(seed * 7 + 1),
+        0.12,
+        CALL_FAULTS.filter(fault => fault !== 'truncate'),
+      );
+      await runCallTrial({seed, faults});
+    }
+  });
+
   it('keeps its promises with every fault at every step', async () => {
     let happened = 0;
     for (const step of CALL_STEPS) {
--- a/packages/trials/src/index.ts
+++ b/packages/trials/src/index.ts
@@ -20,3 +20,5 @@
 export type {TicketTrial, TicketTrialOptions} from './config/ticket_trial';
 export {FleetWorld} from './member/fleet_world';
 export type {FleetWorldOptions} from './member/fleet_world';
+export {runSoak} from './soak';
+export type {SoakFailure, SoakOptions, SoakReport} from './soak';
