Calls six deep, with resends bounded over the whole tree; gateway and membership in smaller files

Cause: each level of a call tree could resend as often as the first, 4 to the power of 6 attempts at worst, and silence of 250 ms resent calls that are always that slow. Ruled out: resends at the top only (the level next to the failure knows best). Change: each level passes on half of what it may resend; a repeatable call is sent again after twice its service's q95 if that is longer than silence_ms. Stand-in servers call on through the node of their VM. The gateway task loses its sender and places, membership its messages, to files of their own. Figures: attempts of a tree 6 deep in which every attempt breaks: 4,096 at worst before, 8 after (a unit test holds the bound).

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -173,9 +173,12 @@
     return this.told;
   }
 
-  /** Resends that servers further down may still make. */
+  /**
+   * Resends that servers further down may make. Half at each level bounds the
+   * attempts of a tree whatever its depth: with 3 at the top there are at most 8.
+   */
   get retriesForNext(): number {
-    return this.retriesLeft;
+    return Math.floor(this.retriesLeft / 2);
   }
 
   private send(hedge: boolean): CallCommand {
--- a/packages/attempts/src/call_plan_test.ts
+++ b/packages/attempts/src/call_plan_test.ts
@@ -163,6 +163,27 @@
     `);
   });
 
+  it('bounds the attempts of a call tree six deep', () => {
+    const attemptsBelow = (retriesLeft: number, depth: number): number => {
+      if (depth === 0) return 1;
+      const subject = plan({repeatable: true, retriesLeft});
+      let attempts = 0;
+      let commands = subject.handle({type: 'begin'});
+      while (commands[0]?.type === 'send') {
+        const {attempt} = commands[0];
+        attempts += attemptsBelow(subject.retriesForNext, depth - 1);
+        subject.handle({type: 'sent', attempt, server: `s${attempt}`});
+        commands = subject.handle({
+          type: 'broke',
+          attempt,
+          kind: 'connectionLost',
+        });
+      }
+      return attempts;
+    };
+    expect(attemptsBelow(3, 6)).toBeLessThanOrEqual(8);
+  });
+
   it('lets an error of one attempt wait for the other', () => {
     const events: CallEvent[] = [
       {type: 'begin'},
--- /dev/null
+++ b/packages/bench/src/fleet/fault_experiment.ts
@@ -0,0 +1,214 @@
+/** Faults on real processes under load: kill -9, SIGSTOP, SIGTERM, a server's death, an outage of the store. */
+import {request} from 'undici';
+import type {LoadResult} from '../load/open_loop';
+import {runLoad} from '../load/open_loop';
+import {callerUrl, endProcess, Fleet} from './fleet';
+import type {FleetMember} from './fleet';
+
+/** What an experiment starts from. */
+export interface FaultExperimentOptions {
+  readonly command: readonly string[];
+  readonly random: () => number;
+  readonly onProgress: (line: string) => void;
+}
+
+/** What it found. */
+export interface FaultReport {
+  readonly streams: readonly LoadResult[];
+  /** Bookings and keyed orders that ran more than once. */
+  readonly ranTwice: number;
+  readonly brokenInvariants: number;
+  /** Exit codes of the nodes that were told to leave. */
+  readonly leaveCodes: ReadonlyArray<number | null>;
+  readonly agreedAgain: boolean;
+  readonly ok: boolean;
+}
+
+const SERVERS = 6;
+const SECONDS = 24;
+const GAP_MS = 3_000;
+const PAUSE_MS = 2_500;
+
+const TICKET = `[ticket]
+number = 1
+
+[service orders]
+deadline_ms = 3000
+warm_up_ms = 0
+`;
+
+/** Runs load on six VMs and strikes one after the other. */
+export async function runFaultExperiment(
+  options: FaultExperimentOptions,
+): Promise<FaultReport> {
+  const fleet = new Fleet({
+    command: options.command,
+    services: [
+      {
+        name: 'orders',
+        servers: SERVERS,
+        slots: 10,
+        meanMs: 5,
+        variability: 0.5,
+      },
+    ],
+    domains: ['domain-a', 'domain-b', 'domain-c'],
+  });
+  try {
+    await fleet.start();
+    await fleet.submit(TICKET);
+    await fleet.waitForAll(
+      s =>
+        s.configRevision === 1 &&
+        s.servers.filter(e => e.state === 'up').length === SERVERS,
+    );
+    const leaveCodes: Array<number | null> = [];
+    const [streams] = await Promise.all([
+      load(fleet, options),
+      strikeAll(fleet, options, leaveCodes),
+    ]);
+    return await judge(fleet, streams, leaveCodes);
+  } finally {
+    await fleet.close();
+  }
+}
+
+// Callers use two nodes that are not struck, as a caller goes on to the next when one refuses.
+function load(
+  fleet: Fleet,
+  options: FaultExperimentOptions,
+): Promise<LoadResult[]> {
+  const origins = fleet.members.slice(4).map(callerUrl);
+  const headers = {'gh-service': 'orders'};
+  return runLoad({
+    seconds: SECONDS,
+    random: options.random,
+    streams: [
+      {
+        name: 'lookups',
+        origins,
+        perSecond: 150,
+        make: () => ({method: 'GET', path: '/stock', headers}),
+      },
+      {
+        name: 'bookings',
+        origins,
+        perSecond: 60,
+        make: () => ({method: 'POST', path: '/book', body: 'b', headers}),
+      },
+      {
+        name: 'keyed orders',
+        origins,
+        perSecond: 10,
+        make: id => ({
+          method: 'POST',
+          path: '/order',
+          body: id,
+          headers: {...headers, 'idempotency-key': id},
+        }),
+      },
+    ],
+  });
+}
+
+async function strikeAll(
+  fleet: Fleet,
+  options: FaultExperimentOptions,
+  leaveCodes: Array<number | null>,
+): Promise<void> {
+  const [a, b, c, d] = fleet.members;
+  if (a === undefined || b === undefined || c === undefined || d === undefined)
+    return;
+  const say = options.onProgress;
+  await pause(GAP_MS);
+  say(`SIGTERM to the node of ${a.nodeId}, then the VM comes back`);
+  leaveCodes.push(await leave(a));
+  await endProcess(a.server);
+  fleet.restart(a);
+  await pause(GAP_MS);
+  say(`kill -9 to the node of ${b.nodeId}; its server goes on`);
+  await endProcess(b.node);
+  await pause(GAP_MS);
+  say(`SIGSTOP to the node of ${c.nodeId} for ${PAUSE_MS} ms`);
+  c.node.kill('SIGSTOP');
+  await pause(PAUSE_MS);
+  c.node.kill('SIGCONT');
+  await pause(GAP_MS);
+  say(`kill -9 to the server of ${d.nodeId}`);
+  await endProcess(d.server);
+  await pause(GAP_MS);
+  say('the store is down, then back');
+  await setStore(fleet, 'down');
+  await pause(GAP_MS);
+  await setStore(fleet, 'up');
+  await endProcess(b.server);
+  fleet.restart(b);
+  await pause(GAP_MS);
+}
+
+function leave(member: FleetMember): Promise<number | null> {
+  return new Promise(done => {
+    member.node.once('exit', code => done(code));
+    member.node.kill('SIGTERM');
+  });
+}
+
+async function setStore(fleet: Fleet, mode: string): Promise<void> {
+  const res = await request(`${fleet.platformUrl}/mode/${mode}`, {
+    method: 'PUT',
+  });
+  await res.body.dump();
+}
+
+async function judge(
+  fleet: Fleet,
+  streams: LoadResult[],
+  leaveCodes: Array<number | null>,
+): Promise<FaultReport> {
+  const agreedAgain = await fleet
+    .waitForAll(
+      s => s.members.filter(m => m.status === 'alive').length === SERVERS,
+    )
+    .then(
+      () => true,
+      () => false,
+    );
+  const ranTwice = await countRepeats(fleet);
+  const statuses = await fleet.statuses();
+  const brokenInvariants = statuses.reduce(
+    (n, s) => n + s.invariants.broken,
+    0,
+  );
+  const wrong = streams.reduce((n, s) => n + s.wrong, 0);
+  const ok =
+    wrong === 0 &&
+    ranTwice === 0 &&
+    brokenInvariants === 0 &&
+    agreedAgain &&
+    leaveCodes.every(c => c === 0);
+  return {streams, ranTwice, brokenInvariants, leaveCodes, agreedAgain, ok};
+}
+
+// Runs are compared over all servers that still live; a run at one that was killed is not seen.
+async function countRepeats(fleet: Fleet): Promise<number> {
+  const seen = new Set<string>();
+  let repeats = 0;
+  for (const member of fleet.members) {
+    const runs = (await fleet.control(member, 'runs')) as
+      {twice?: string[][]} | undefined;
+    repeats += (runs?.twice ?? []).filter(
+      ([id]) => !id?.startsWith('lookups'),
+    ).length;
+    const ids =
+      ((await fleet.control(member, 'ids')) as string[] | undefined) ?? [];
+    for (const id of ids.filter(name => !name.startsWith('lookups'))) {
+      if (seen.has(id)) repeats++;
+      seen.add(id);
+    }
+  }
+  return repeats;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(done => setTimeout(done, ms));
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -182,6 +182,7 @@
       ...['--service', service.name],
       ...['--port', String(serverPort)],
       ...['--operator', `http://127.0.0.1:${operator}`],
+      ...['--gateway', `http://127.0.0.1:${caller}`],
       ...['--slots', String(service.slots)],
       ...['--mean-ms', String(service.meanMs)],
       ...['--variability', String(service.variability)],
--- a/packages/bench/src/fleet/latency_experiment.ts
+++ b/packages/bench/src/fleet/latency_experiment.ts
@@ -12,6 +12,8 @@
   readonly seconds: number;
   readonly random: () => number;
   readonly serviceMs?: number;
+  /** How deep the calls go through nodes; direct ones are 1 deep. */
+  readonly depth?: number;
   /** Settings of the nodes besides the defaults. */
   readonly extraSettings?: string;
 }
@@ -92,7 +94,12 @@
     warmUpSeconds: WARM_UP_SECONDS,
     random: options.random,
     streams: [
-      {name: 'through', origins: fleet.members.map(callerUrl), perSecond, make},
+      {
+        name: 'through',
+        origins: fleet.members.map(callerUrl),
+        perSecond,
+        make: id => ({...make(id), path: `/chain?depth=${options.depth ?? 1}`}),
+      },
       {
         name: 'direct',
         origins: fleet.members.map(m => `http://127.0.0.1:${m.serverPort}`),
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -44,3 +44,8 @@
   SpreadExperimentOptions,
   SpreadReport,
 } from './virtual/spread_experiment';
+export {runFaultExperiment} from './fleet/fault_experiment';
+export type {
+  FaultExperimentOptions,
+  FaultReport,
+} from './fleet/fault_experiment';
--- a/packages/cli/src/commands/bench/index.ts
+++ b/packages/cli/src/commands/bench/index.ts
@@ -1,6 +1,7 @@
 /** `goldcresthill bench`: experiments. */
 import {subcommands} from 'cmd-ts';
 import {capacityCommand} from './capacity';
+import {faultsCommand} from './faults';
 import {latencyCommand} from './latency';
 import {routingCommand} from './routing';
 import {spreadCommand} from './spread';
@@ -20,6 +21,7 @@
   ],
   cmds: {
     capacity: capacityCommand,
+    faults: faultsCommand,
     latency: latencyCommand,
     routing: routingCommand,
     spread: spreadCommand,
--- a/packages/cli/src/commands/bench/latency.ts
+++ b/packages/cli/src/commands/bench/latency.ts
@@ -18,6 +18,12 @@
       description: 'calls a second, half of them direct',
     }),
     seconds: option({type: number, long: 'seconds', defaultValue: () => 10}),
+    depth: option({
+      type: number,
+      long: 'depth',
+      defaultValue: () => 1,
+      description: 'how deep calls go on from server to server',
+    }),
     serviceMs: option({
       type: number,
       long: 'service-ms',
@@ -39,6 +45,7 @@
       perSecond: args.perSecond,
       seconds: args.seconds,
       serviceMs: args.serviceMs,
+      depth: args.depth,
       random: seededRandom(args.seed),
       extraSettings: `\n[logs]\ndecision_percent = ${args.logs}\n`,
     });
--- a/packages/cli/src/commands/stand_in/index.ts
+++ b/packages/cli/src/commands/stand_in/index.ts
@@ -26,6 +26,7 @@
     port,
     service: option({type: string, long: 'service'}),
     operator: option({type: string, long: 'operator'}),
+    gateway: option({type: string, long: 'gateway', defaultValue: () => ''}),
     slots: option({type: number, long: 'slots', defaultValue: () => 10}),
     meanMs: option({type: number, long: 'mean-ms', defaultValue: () => 10}),
     variability: option({
@@ -39,6 +40,7 @@
       slots: args.slots,
       times: {meanMs: args.meanMs, variability: args.variability},
       random: seededRandom(process.pid),
+      gatewayUrl: args.gateway,
     });
     const bound = await fake.listen(args.port);
     const announcer = new Announcer({
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,11 +1,8 @@
 /** Members of the fleet: who there is, who can be reached, and how news spreads. */
-export {Membership, messageBytes, recordBytes} from './membership';
-export type {
-  ExchangeMessage,
-  MemberCommand,
-  MemberNews,
-  MembershipOptions,
-} from './membership';
+export {Membership} from './membership';
+export type {MemberCommand, MembershipOptions} from './membership';
+export {messageBytes, recordBytes} from './exchange_message';
+export type {ExchangeMessage, MemberNews} from './exchange_message';
 export {compareRecords, isNewer, recordHash} from './member_record';
 export type {MemberRecord, MemberStatus} from './member_record';
 export {MemberTable, BUCKETS} from './member_table';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,37 +1,23 @@
 /** Aggregate that holds the fleet as one node sees it and decides whom to tell. */
 import {TokenBucket} from '@goldcresthill/budgets';
-import type {Clearance, Strike} from '@goldcresthill/quarantine';
 import {invariant} from '@goldcresthill/types';
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
 import {isMostlySuspect} from './cut_detector';
 import {DomainContacts} from './domain_contacts';
+import {
+  BASE_BYTES,
+  BYTES_PER_BUCKET,
+  messageBytes,
+  NEWS_BYTES,
+  recordBytes,
+} from './exchange_message';
+import type {ExchangeMessage, MemberNews} from './exchange_message';
 import type {MemberRecord, MemberStatus} from './member_record';
 import {isGone, isNewer} from './member_record';
 import {BUCKETS, MemberTable} from './member_table';
 import {RumorQueue} from './rumor_queue';
 import {successorsOf} from './successors';
 
-/** News besides member records. */
-export type MemberNews =
-  | ({readonly type: 'strike'} & Strike)
-  | ({readonly type: 'clearance'} & Clearance);
-
-/** What two nodes tell each other; the answer to a message is a message. */
-export interface ExchangeMessage {
-  readonly from: NodeAddress;
-  readonly records: readonly MemberRecord[];
-  readonly news: readonly MemberNews[];
-  /** Hash of the sender's whole table. */
-  readonly digest: number;
-  /** Hashes of the table's parts, once the whole is known to differ. */
-  readonly buckets: readonly number[];
-  readonly configRevision: number;
-  /** Asks the receiver whether it can reach this node. */
-  readonly probeTarget: string | undefined;
-  /** Answer to such a question. */
-  readonly probeReached: boolean;
-}
-
 /** What the owner of the sockets is to do. */
 export type MemberCommand =
   | {
@@ -87,10 +73,6 @@
 const TELL_LIMIT = 4;
 /** Bytes of records in one message. */
 const MESSAGE_BYTES = 4_096;
-const BASE_BYTES = 120;
-const BYTES_PER_SERVER = 48;
-const BYTES_PER_BUCKET = 4;
-const NEWS_BYTES = 80;
 /** Every this many rounds a dead node is tried again. */
 const RETRY_ROUNDS = 5;
 /** Time for which a dead or departed node is remembered, milliseconds. */
@@ -98,22 +80,6 @@
 /** Share of the byte budget that news may use at once, seconds' worth. */
 const BURST_SECONDS = 4;
 
-/** Bytes that a record takes in a message, about. */
-export function recordBytes(record: MemberRecord): number {
-  return BASE_BYTES + record.servers.length * BYTES_PER_SERVER;
-}
-
-/** Bytes that a message takes, about. */
-export function messageBytes(message: ExchangeMessage): number {
-  const records = message.records.reduce((sum, r) => sum + recordBytes(r), 0);
-  return (
-    BASE_BYTES +
-    records +
-    message.buckets.length * BYTES_PER_BUCKET +
-    message.news.length * NEWS_BYTES
-  );
-}
-
 /** Membership of one node. Time and randomness are passed in. */
 export class Membership {
   private readonly table = new MemberTable();
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -212,12 +212,20 @@
   }
 
   private armSilence(attempt: number, entry: Attempt): void {
-    const {silenceMs} = this.env.router.currentRules;
+    const silenceMs = this.silenceMs();
     entry.silenceTimer = this.env.timers.after(silenceMs, () =>
       this.event({type: 'silent', attempt}),
     );
   }
 
+  // What may be repeated is sent again only when it is slow for this service.
+  private silenceMs(): number {
+    const {silenceMs} = this.env.router.currentRules;
+    const usualMs = this.env.router.hedgeAfterMs;
+    const slow = this.call.info.repeatable && Number.isFinite(usualMs);
+    return slow ? Math.max(silenceMs, SLOW_RATIO * usualMs) : silenceMs;
+  }
+
   private attemptEnded(
     attempt: number,
     entry: Attempt,
@@ -338,6 +346,8 @@
 }
 
 const SERVER_ERROR = 500;
+/** A repeatable call is slow after this many times the latency at which it is hedged. */
+const SLOW_RATIO = 2;
 
 function outcomeOf(result: AttemptResult): PickResult['outcome'] {
   switch (result.type) {
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -8,18 +8,11 @@
 import type {ObjectStore} from '@goldcresthill/platform';
 import type {Quarantine} from '@goldcresthill/quarantine';
 import {ServiceRouter} from '@goldcresthill/routing';
-import type {Pick, ServerPlace} from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import {serverId} from '@goldcresthill/types';
-import type {
-  AttemptId,
-  Micros,
-  NodeAddress,
-  ServiceRules,
-} from '@goldcresthill/types';
+import type {NodeAddress, ServiceRules} from '@goldcresthill/types';
 import {fingerprintOf} from '../fingerprint';
 import type {GateTask} from '../gate/gate_task';
-import type {AttemptResult, KeptAnswer} from '../gate/messages';
+import type {KeptAnswer} from '../gate/messages';
 import type {BodyBudget} from '../http/body';
 import {readBody} from '../http/body';
 import {endToEndHeaders} from '../http/header_filter';
@@ -31,18 +24,13 @@
 import type {CallHead} from './call_reader';
 import {CallHandler} from './call_handler';
 import type {HandledOutcome} from './call_handler';
-import type {AttemptHandle} from './call_runner';
 import type {DecisionLog} from './decision_log';
-import {
-  acknowledge,
-  askOwner,
-  askResolution,
-  probe,
-  sendAttempt,
-} from './gate_client';
+import {askOwner} from './gate_client';
 import type {OutgoingCall} from './gate_client';
 import {GateLinks} from './gate_links';
+import {GateSender} from './gate_sender';
 import type {GatewayMessage} from './messages';
+import {placesOf} from './server_places';
 
 /** What the task starts from. */
 export interface GatewayTaskOptions {
@@ -61,13 +49,6 @@
   readonly onFault: (err: unknown) => void;
 }
 
-/** Network time there and back by distance, before any is measured, microseconds. */
-const NETWORK_US: Record<'local' | 'domain' | 'region' | 'far', Micros> = {
-  local: 50,
-  domain: 400,
-  region: 2_000,
-  far: 30_000,
-};
 const EVICT_MS = 1_000;
 /** Time for which the answer to a call whose server died is held back, milliseconds. */
 const NEWS_HOLD_MS = 500;
@@ -85,13 +66,13 @@
   private readonly listener: Listener;
   private readonly links = new GateLinks();
   private readonly routers = new Map<string, ServiceRouter>();
+  private readonly sender: GateSender;
   private readonly handler: CallHandler;
   private rules: ReadonlyMap<string, ServiceRules> = new Map();
   private records: readonly MemberRecord[] = [];
   private cutDomains: readonly string[] = [];
   private readonly timers: Timers;
   private readonly timer: Cancel;
-  private attemptSeq = 0;
   private callSeq = 0;
   private open = 0;
   private closing = false;
@@ -99,12 +80,19 @@
   constructor(private readonly options: GatewayTaskOptions) {
     super();
     this.timers = options.timers;
+    this.sender = new GateSender({
+      address: options.address,
+      gate: options.gate,
+      links: this.links,
+      timers: options.timers,
+      onProbe: service => options.metrics.count('probes_total', {service}),
+    });
     this.handler = new CallHandler({
       address: options.address,
       timers: options.timers,
       store: options.store,
       send: (call, pick, suspect, retriesLeft, done) =>
-        this.send(call, pick, suspect, retriesLeft, done),
+        this.sender.send(call, pick, suspect, retriesLeft, done),
       askOwner: ({host, dataPort, token, incarnation}) =>
         askOwner(host, dataPort, token, incarnation),
       onDecision: (callId, sampled, decision) =>
@@ -214,48 +202,17 @@
   }
 
   private updateServers(): void {
-    const places = new Map<string, ServerPlace[]>();
-    for (const record of this.records) {
-      for (const server of record.servers) {
-        const list = places.get(server.service) ?? [];
-        list.push(this.placeOf(record, server));
-        places.set(server.service, list);
-      }
-    }
+    const places = placesOf({
+      self: this.options.address,
+      records: this.records,
+      cutDomains: this.cutDomains,
+      rules: this.rules,
+    });
     for (const [service, router] of this.routers) {
       router.setServers(places.get(service) ?? []);
     }
   }
 
-  private placeOf(
-    record: MemberRecord,
-    server: MemberRecord['servers'][number],
-  ): ServerPlace {
-    const {address} = record;
-    const cut = this.cutDomains.includes(address.domain);
-    const reachable = record.status === 'alive' && !cut;
-    const drained = this.rules
-      .get(server.service)
-      ?.drainNodes.includes(address.nodeId);
-    const state = drained ? 'draining' : server.state;
-    return {
-      id: serverId(address.nodeId, server.service),
-      nodeId: address.nodeId,
-      domain: address.domain,
-      slots: server.slots,
-      state: reachable ? state : 'down',
-      networkUs: NETWORK_US[this.distance(address)],
-      instance: `${address.bootId}:${server.instance}`,
-    };
-  }
-
-  private distance(address: NodeAddress): keyof typeof NETWORK_US {
-    const own = this.options.address;
-    if (address.nodeId === own.nodeId) return 'local';
-    if (address.domain === own.domain) return 'domain';
-    return address.region === own.region ? 'region' : 'far';
-  }
-
   private receive(req: IncomingMessage, res: ServerResponse): void {
     const startedAt = this.timers.now();
     const callId = this.newCallId(req);
@@ -354,7 +311,7 @@
     res.on('close', () => {
       if (!res.writableFinished) handle.callerGone();
     });
-    this.sendProbes(service, router);
+    this.sender.sendProbes(service, router);
   }
 
   private answer(context: CallContext, outcome: HandledOutcome): void {
@@ -408,108 +365,6 @@
     writeError(context.res, this.answerContext(context), kind);
   }
 
-  private send(
-    call: OutgoingCall,
-    pick: Pick,
-    suspect: boolean,
-    retriesLeft: number,
-    done: (result: AttemptResult) => void,
-  ): AttemptHandle | undefined {
-    const {address} = this.options;
-    const id = {
-      gateway: address.nodeId,
-      incarnation: address.bootId,
-      seq: this.attemptSeq++,
-    };
-    return pick.nodeId === address.nodeId
-      ? this.sendLocal(call, id, suspect, retriesLeft, done)
-      : this.sendRemote(call, id, pick.nodeId, suspect, retriesLeft, done);
-  }
-
-  private sendLocal(
-    call: OutgoingCall,
-    id: AttemptId,
-    suspect: boolean,
-    retriesLeft: number,
-    done: (result: AttemptResult) => void,
-  ): AttemptHandle {
-    const {gate, address} = this.options;
-    let cancel = (): void => undefined;
-    gate.post({
-      type: 'attempt',
-      req: {
-        id,
-        once: !call.info.repeatable,
-        gateIncarnation: address.bootId,
-        callId: call.info.callId,
-        service: call.info.service,
-        method: call.method,
-        path: call.path,
-        headers: localHeaders(call, retriesLeft),
-        body: call.body,
-        deadline: call.info.deadline,
-        suspect,
-        key: call.info.key,
-        reply: done,
-      },
-      onHandle: handle => (cancel = handle),
-    });
-    return {
-      cancel: () => cancel(),
-      resolve: () =>
-        new Promise(reply =>
-          gate.post({
-            type: 'resolve',
-            id,
-            gateIncarnation: address.bootId,
-            reply,
-          }),
-        ),
-      giveUpConnection: () => undefined,
-      acknowledge: () => gate.post({type: 'acknowledge', id}),
-    };
-  }
-
-  private sendRemote(
-    call: OutgoingCall,
-    id: AttemptId,
-    nodeId: string,
-    suspect: boolean,
-    retriesLeft: number,
-    done: (result: AttemptResult) => void,
-  ): AttemptHandle | undefined {
-    const link = this.links.get(nodeId);
-    if (link === undefined) return undefined;
-    const {host, dataPort, bootId} = link.address;
-    const leftMs = call.info.deadline - this.timers.now();
-    const attempt = {id, gateIncarnation: bootId, suspect, retriesLeft, leftMs};
-    const cancel = sendAttempt(link.pool, call, attempt, done);
-    return {
-      cancel,
-      resolve: () => askResolution(host, dataPort, id, bootId),
-      giveUpConnection: () => this.links.renew(nodeId),
-      acknowledge: () => acknowledge(link.pool, id),
-    };
-  }
-
-  private sendProbes(service: string, router: ServiceRouter): void {
-    for (const view of router.planProbes(this.timers.now())) {
-      this.options.metrics.count('probes_total', {service});
-      if (view.nodeId === this.options.address.nodeId) {
-        const report = this.options.gate.reportOf(service);
-        if (report !== undefined)
-          router.learn(this.timers.now(), view.id, report);
-        continue;
-      }
-      const link = this.links.get(view.nodeId);
-      if (link === undefined) continue;
-      probe(link.pool, service, report => {
-        if (report !== undefined)
-          router.learn(this.timers.now(), view.id, report);
-      });
-    }
-  }
-
   private answerContext(context: CallContext, server?: string): AnswerContext {
     return {callId: context.call.info.callId, server, closing: this.closing};
   }
@@ -526,16 +381,6 @@
   }
 }
 
-function localHeaders(call: OutgoingCall, retriesLeft: number) {
-  return {
-    ...call.headers,
-    'gh-service': call.info.service,
-    'gh-call-id': call.info.callId,
-    'gh-retries-left': String(retriesLeft),
-    'gh-depth': String(call.info.depth),
-  };
-}
-
 function once<T>(make: () => T): () => T {
   let made: {value: T} | undefined;
   return () => (made ??= {value: make()}).value;
--- /dev/null
+++ b/packages/node/src/gateway/server_places.ts
@@ -0,0 +1,66 @@
+/** Servers of all services as a gateway is to see them. */
+import type {MemberRecord} from '@goldcresthill/membership';
+import type {ServerPlace} from '@goldcresthill/routing';
+import {serverId} from '@goldcresthill/types';
+import type {Micros, NodeAddress, ServiceRules} from '@goldcresthill/types';
+
+/** What the places are worked out from. */
+export interface FleetView {
+  readonly self: NodeAddress;
+  readonly records: readonly MemberRecord[];
+  /** Domains whose servers are not to be used for now. */
+  readonly cutDomains: readonly string[];
+  readonly rules: ReadonlyMap<string, ServiceRules>;
+}
+
+/** Network time there and back by distance, before any is measured, microseconds. */
+const NETWORK_US: Record<'local' | 'domain' | 'region' | 'far', Micros> = {
+  local: 50,
+  domain: 400,
+  region: 2_000,
+  far: 30_000,
+};
+
+/** Places of servers by service. */
+export function placesOf(view: FleetView): Map<string, ServerPlace[]> {
+  const places = new Map<string, ServerPlace[]>();
+  for (const record of view.records) {
+    for (const server of record.servers) {
+      const list = places.get(server.service) ?? [];
+      list.push(placeOf(view, record, server));
+      places.set(server.service, list);
+    }
+  }
+  return places;
+}
+
+function placeOf(
+  view: FleetView,
+  record: MemberRecord,
+  server: MemberRecord['servers'][number],
+): ServerPlace {
+  const {address} = record;
+  const cut = view.cutDomains.includes(address.domain);
+  const reachable = record.status === 'alive' && !cut;
+  const rules = view.rules.get(server.service);
+  const drained = rules?.drainNodes.includes(address.nodeId);
+  const state = drained ? 'draining' : server.state;
+  return {
+    id: serverId(address.nodeId, server.service),
+    nodeId: address.nodeId,
+    domain: address.domain,
+    slots: server.slots,
+    state: reachable ? state : 'down',
+    networkUs: NETWORK_US[distance(view.self, address)],
+    instance: `${address.bootId}:${server.instance}`,
+  };
+}
+
+function distance(
+  own: NodeAddress,
+  other: NodeAddress,
+): keyof typeof NETWORK_US {
+  if (other.nodeId === own.nodeId) return 'local';
+  if (other.domain === own.domain) return 'domain';
+  return other.region === own.region ? 'region' : 'far';
+}
--- a/packages/node/src/node_test.ts
+++ b/packages/node/src/node_test.ts
@@ -125,6 +125,15 @@
       expect(shown(reused)).toBe('422 keyReused notRun false');
     });
 
+    it('carries calls six deep, and no deeper than eight', async () => {
+      const headers = {'x-request-id': 'deep', 'gh-deadline-ms': '30000'};
+      const six = await fleet.call(0, 'GET', '/chain?depth=6', headers);
+      expect(six.text).toMatch(/^deep\|/);
+      expect(fleet.runsOf('deep')).toBeGreaterThanOrEqual(6);
+      const nine = await fleet.call(1, 'GET', '/chain?depth=9', headers);
+      expect(nine.status).toBe(508);
+    });
+
     it('refuses stale tickets and knows one that is sent again', async () => {
       const ticket =
         '[ticket]\nnumber = 4\n[service orders]\ndeadline_ms = 900\n';
--- a/packages/node/src/testing/small_fleet.ts
+++ b/packages/node/src/testing/small_fleet.ts
@@ -209,6 +209,7 @@
       slots,
       times: {meanMs: this.options.meanMs ?? 2, variability: 0},
       random: seededRandom(1),
+      gatewayUrl: member.callerUrl,
       onCrash: () => {
         member.crashes++;
         member.announcer.close();
--- a/packages/test-utils/src/fake_server.ts
+++ b/packages/test-utils/src/fake_server.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {request} from 'undici';
 
 /** Distribution of service times. */
 export interface ServiceTimes {
@@ -17,6 +18,8 @@
   readonly random: () => number;
   /** Bytes of an answer, besides what tells whose answer it is. */
   readonly answerBytes?: number;
+  /** Callers' port of the node on this VM, for calls of this server's own. */
+  readonly gatewayUrl?: string;
   /** Called by a request for /crash; ends the process unless given. */
   readonly onCrash?: () => void;
 }
@@ -35,7 +38,8 @@
  *
  * `slowdown` multiplies every service time from now on. `/crash` ends it,
  * `/error` fails at once, `/shed` answers 503 without a run, `/big?bytes=N`
- * answers N bytes, `/broken` breaks off in the middle of its answer.
+ * answers N bytes, `/broken` breaks off in the middle of its answer, and
+ * `/chain?depth=N` calls on, N deep in all.
  */
 export class FakeServer {
   slowdown = 1;
@@ -100,6 +104,10 @@
       res.end(JSON.stringify({total: this.total, twice}));
       return;
     }
+    if (name === 'ids') {
+      res.end(JSON.stringify([...this.runs.keys()]));
+      return;
+    }
     res.end('ok');
   }
 
@@ -136,8 +144,16 @@
     this.startNext();
   }
 
-  private answer({req, res, body}: Waiting): void {
+  private answer(next: Waiting): void {
+    const {req, res, body} = next;
     const url = new URL(req.url ?? '/', 'http://server');
+    if (
+      url.pathname === '/chain' &&
+      Number(url.searchParams.get('depth')) > 1
+    ) {
+      void this.callOn(next, Number(url.searchParams.get('depth')) - 1);
+      return;
+    }
     if (url.pathname === '/error') {
       res.writeHead(500).end('error');
       return;
@@ -160,6 +176,32 @@
       .end(text);
   }
 
+  // Calls the next server by the node of this VM, with deadline and budgets as it got them.
+  private async callOn({req, res}: Waiting, depth: number): Promise<void> {
+    const passed = [
+      'gh-service',
+      'gh-call-id',
+      'gh-deadline-ms',
+      'gh-retries-left',
+      'gh-depth',
+      'x-request-id',
+    ];
+    const headers: Record<string, string> = {};
+    for (const name of passed) {
+      const value = req.headers[name];
+      if (typeof value === 'string') headers[name] = value;
+    }
+    try {
+      const url = `${this.options.gatewayUrl}/chain?depth=${depth}`;
+      const answer = await request(url, {headers});
+      const text = await answer.body.text();
+      const length = String(Buffer.byteLength(text));
+      res.writeHead(answer.statusCode, {'content-length': length}).end(text);
+    } catch {
+      res.writeHead(502).end();
+    }
+  }
+
   private drawMs(): number {
     const {meanMs, variability} = this.options.times;
     const exponential = -Math.log(1 - this.options.random()) * meanMs;
