Faults on real processes under load; cheaper decision lines; pools opened when used

Cause: a line for each decision cost 15 to 28 µs by the library's JSON format; each node opened a pool for each member; kill -9, SIGSTOP and outages had been tried in virtual time only. Ruled out: sampling the lines by default (the users ask for each).

--- a/packages/bench/src/fleet/capacity_experiment.ts
+++ b/packages/bench/src/fleet/capacity_experiment.ts
@@ -23,6 +23,7 @@
   readonly nodes: number;
   readonly cpuPercent: number;
   readonly rssMegabytes: number;
+  readonly heapMegabytes: number;
   readonly storeCallsPerSecond: number;
   readonly ticketMs: number;
 }
@@ -78,6 +79,9 @@
     'memory at rest, MB, by nodes': fitLine(
       rest.map(p => [p.nodes, p.rssMegabytes]),
     ),
+    'heap at rest, MB, by nodes': fitLine(
+      rest.map(p => [p.nodes, p.heapMegabytes]),
+    ),
     'store calls a second of the fleet, by nodes': fitLine(
       rest.map(p => [p.nodes, p.storeCallsPerSecond]),
     ),
@@ -87,9 +91,8 @@
     'configuration, bytes, by services': fitLine(
       services.map(p => [p.services, p.configBytes]),
     ),
-    'processor per call, µs, by calls a second': fitLine(
-      load.map(p => [p.perSecond, p.cpuMicrosPerCall]),
-    ),
+    'processor of the fleet under load, µs a second, by calls a second':
+      fitLine(load.map(p => [p.perSecond, p.cpuMicrosPerCall * p.perSecond])),
   };
   return {rest, services, load, lines};
 }
@@ -155,6 +158,8 @@
       cpuPercent: cpu / options.restSeconds / nodes / MICROS_PER_PERCENT_SECOND,
       rssMegabytes:
         total(after, s => s.process.rssBytes) / nodes / BYTES_PER_MEGABYTE,
+      heapMegabytes:
+        total(after, s => s.process.heapUsedBytes) / nodes / BYTES_PER_MEGABYTE,
       storeCallsPerSecond: calls / options.restSeconds,
       ticketMs: await timeTickets(fleet, 1),
     };
--- a/packages/bench/src/fleet/fault_experiment.ts
+++ b/packages/bench/src/fleet/fault_experiment.ts
@@ -97,7 +97,7 @@
         make: () => ({method: 'POST', path: '/book', body: 'b', headers}),
       },
       {
-        name: 'keyed orders',
+        name: 'orders',
         origins,
         perSecond: 10,
         make: id => ({
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -245,6 +245,7 @@
   readonly store: {made: number; failed: number};
   readonly process: {
     rssBytes: number;
+    heapUsedBytes: number;
     cpuMicros: number;
     uptimeSeconds: number;
     eventLoopP99Us: number;
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -23,6 +23,15 @@
 /** Decision lines written in one turn of the event loop. */
 const LINES_PER_TURN = 64;
 
+const MESSAGE = Symbol.for('message');
+
+// The library's own JSON format guards against cycles, which plain fields do not have.
+const jsonLine = winston.format(info => {
+  const timestamp = new Date().toISOString();
+  info[MESSAGE] = JSON.stringify({timestamp, ...info});
+  return info;
+});
+
 /** Writes JSON lines. Decisions are queued and written after the turn that made them. */
 export class Logger {
   private readonly winston: winston.Logger;
@@ -45,10 +54,7 @@
     this.winston = winston.createLogger({
       level: options.level ?? 'info',
       defaultMeta: {node: options.node},
-      format: winston.format.combine(
-        winston.format.timestamp(),
-        winston.format.json(),
-      ),
+      format: jsonLine(),
       transports: [new winston.transports.Stream({stream: this.sink})],
     });
   }
--- a/packages/node/src/gateway/gate_links.ts
+++ b/packages/node/src/gateway/gate_links.ts
@@ -6,14 +6,16 @@
 const CONNECT_TIMEOUT_MS = 500;
 const IDLE_CONNECTION_MS = 20_000;
 
-interface Link {
+/** Way to the gate of one node. */
+export interface GateLink {
   readonly address: NodeAddress;
-  pool: Pool;
+  readonly pool: Pool;
 }
 
-/** One pool for each node; a pool is renewed when its connections fall silent. */
+/** One pool for each node that is used; a pool is renewed when its connections fall silent. */
 export class GateLinks {
-  private readonly links = new Map<string, Link>();
+  private readonly addresses = new Map<string, NodeAddress>();
+  private readonly pools = new Map<string, Pool>();
 
   /** Takes the members; links to those that are gone are closed. */
   update(records: readonly MemberRecord[]): void {
@@ -21,43 +23,47 @@
     for (const record of records) {
       if (record.status === 'dead' || record.status === 'left') continue;
       seen.add(record.address.nodeId);
-      this.open(record.address);
+      this.setAddress(record.address);
     }
-    for (const nodeId of [...this.links.keys()]) {
-      if (!seen.has(nodeId)) this.drop(nodeId);
+    for (const nodeId of [...this.addresses.keys()]) {
+      if (seen.has(nodeId)) continue;
+      this.addresses.delete(nodeId);
+      this.renew(nodeId);
     }
   }
 
-  get(nodeId: string): Link | undefined {
-    return this.links.get(nodeId);
+  /** The link to a node, opened when first asked for. */
+  get(nodeId: string): GateLink | undefined {
+    const address = this.addresses.get(nodeId);
+    if (address === undefined) return undefined;
+    const pool = this.pools.get(nodeId) ?? newPool(address);
+    this.pools.set(nodeId, pool);
+    return {address, pool};
   }
 
   /** Gives up the connections to a node; the next call opens new ones. */
   renew(nodeId: string): void {
-    const link = this.links.get(nodeId);
-    if (link === undefined) return;
-    void link.pool.close().catch(() => undefined);
-    link.pool = newPool(link.address);
+    // Exchanges under way still end by themselves.
+    void this.pools
+      .get(nodeId)
+      ?.close()
+      .catch(() => undefined);
+    this.pools.delete(nodeId);
   }
 
   async close(): Promise<void> {
-    const pools = [...this.links.values()].map(link => link.pool.destroy());
-    this.links.clear();
+    const pools = [...this.pools.values()].map(pool => pool.destroy());
+    this.pools.clear();
+    this.addresses.clear();
     await Promise.all(pools);
   }
 
-  private open(address: NodeAddress): void {
-    const known = this.links.get(address.nodeId);
-    if (known !== undefined && sameProcess(known.address, address)) return;
-    if (known !== undefined) this.drop(address.nodeId);
-    this.links.set(address.nodeId, {address, pool: newPool(address)});
-  }
-
-  private drop(nodeId: string): void {
-    const link = this.links.get(nodeId);
-    this.links.delete(nodeId);
-    // Exchanges under way still end by themselves.
-    void link?.pool.close().catch(() => undefined);
+  private setAddress(address: NodeAddress): void {
+    const known = this.addresses.get(address.nodeId);
+    this.addresses.set(address.nodeId, address);
+    if (known !== undefined && !isSameProcess(known, address)) {
+      this.renew(address.nodeId);
+    }
   }
 }
 
@@ -77,7 +83,7 @@
   });
 }
 
-function sameProcess(a: NodeAddress, b: NodeAddress): boolean {
+function isSameProcess(a: NodeAddress, b: NodeAddress): boolean {
   return (
     a.bootId === b.bootId && a.host === b.host && a.dataPort === b.dataPort
   );
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -149,6 +149,7 @@
       logLinesDropped: this.options.logger.linesDropped,
       process: {
         rssBytes: process.memoryUsage.rss(),
+        heapUsedBytes: process.memoryUsage().heapUsed,
         cpuMicros: cpu.user + cpu.system,
         uptimeSeconds: process.uptime(),
         eventLoopP99Us: Math.round(
--- a/packages/node/src/operator/status.ts
+++ b/packages/node/src/operator/status.ts
@@ -43,6 +43,7 @@
   readonly logLinesDropped: number;
   readonly process: {
     readonly rssBytes: number;
+    readonly heapUsedBytes: number;
     readonly cpuMicros: number;
     readonly uptimeSeconds: number;
     readonly eventLoopP99Us: number;
