--- /dev/null
+++ b/packages/bench/src/virtual/ideal_policy.ts
@@ -0,0 +1,19 @@
+/** Policy with perfect knowledge, to measure the distance to it. */
+import {RoutingPolicy} from '@goldcresthill/routing';
+import type {Choice, ServerView} from '@goldcresthill/routing';
+
+/** How far the policies are from perfect knowledge. */
+export class IdealPolicy extends RoutingPolicy {
+  override readonly name = 'expectedTime';
+
+  constructor(private readonly timeMs: (id: string) => number) {
+    super();
+  }
+
+  override choose(candidates: readonly ServerView[]): Choice {
+    const best = candidates.reduce((a, b) =>
+      this.timeMs(b.id) < this.timeMs(a.id) ? b : a,
+    );
+    return {view: best, reason: 'shortest true time'};
+  }
+}
--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -8,21 +8,18 @@
   policyOf,
   ServiceRouter,
 } from '@goldcresthill/routing';
-import {RoutingPolicy} from '@goldcresthill/routing';
-import type {
-  Choice,
-  Mechanisms,
-  Pick,
-  ServerView,
-} from '@goldcresthill/routing';
+import type {RoutingPolicy} from '@goldcresthill/routing';
+import type {Mechanisms, Pick} from '@goldcresthill/routing';
 import {seededRandom, VirtualClock} from '@goldcresthill/test-utils';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
 import type {LoadReport, PolicyName, ServiceRules} from '@goldcresthill/types';
-import {CallPlan} from '@goldcresthill/attempts';
 import type {CallCommand} from '@goldcresthill/attempts';
+import {Disturber} from './disturber';
+import {IdealPolicy} from './ideal_policy';
 import type {Disturbance, Site} from './scenario';
 import {capacityOf} from './scenario';
 import {ServerModel} from './server_model';
+import {TrialCall} from './trial_call';
 
 /** What a trial starts from. */
 export interface RoutingTrialOptions {
@@ -55,15 +52,6 @@
 const DEFAULT_SECONDS = 20;
 const WARM_UP_MS = 2_000;
 const LOCAL_ONE_WAY_MS = 0.1;
-const SHIFT_EVERY_MS = 40;
-const SHIFTED_SHARE = 0.2;
-const SHIFT_SLOWDOWN = 6;
-const STRAGGLER_SLOWDOWN = 10;
-const BURST_FACTOR = 3;
-const BURST_EVERY_MS = 2_000;
-const BURST_MS = 200;
-const COLD_SLOWDOWN = 5;
-const COLD_MS = 1_500;
 const REFUSED_SHARE = 0.05;
 const ERROR_SERVER = 0;
 const SETTLE_MS = 5_000;
@@ -92,7 +80,7 @@
   private readonly random: () => number;
   // Arms of a comparison meet the same arrivals and the same disturbance.
   private readonly arrivalRandom: () => number;
-  private readonly disturbanceRandom: () => number;
+  private readonly disturber: Disturber;
   private readonly rules: ServiceRules;
   private readonly servers: TrialServer[] = [];
   private readonly gateways: TrialGateway[] = [];
@@ -107,12 +95,10 @@
   private failed = 0;
   private calls = 0;
   private attempts = 0;
-  private burst = 1;
 
   constructor(private readonly options: RoutingTrialOptions) {
     this.random = seededRandom(options.seed);
     this.arrivalRandom = seededRandom(options.seed + 1_000_003);
-    this.disturbanceRandom = seededRandom(options.seed + 2_000_003);
     this.rules = {
       ...DEFAULT_SERVICE_RULES,
       policy: options.policy,
@@ -126,10 +112,20 @@
     for (let i = 0; i < options.site.gateways; i++)
       this.gateways.push(this.makeGateway(i));
     this.setServers();
+    this.disturber = new Disturber({
+      disturbance: options.disturbance,
+      clock: this.clock,
+      random: seededRandom(options.seed + 2_000_003),
+      models: this.servers.map(server => server.model),
+      fromMs: WARM_UP_MS,
+      endMs: this.endMs,
+      onRestart: () => (this.server(0).gate = this.makeGate()),
+      onDrain: () => this.drain(this.server(0)),
+    });
   }
 
   run(): RoutingTrial {
-    this.disturb();
+    this.disturber.start();
     this.gateways.forEach(gateway => this.scheduleArrival(gateway));
     this.clock.runUntil(this.endMs + SETTLE_MS);
     const probes = this.gateways.reduce(
@@ -145,8 +141,6 @@
     };
   }
 
-  // ---- set-up
-
   private makeServer(index: number): TrialServer {
     const {site} = this.options;
     const model = new ServerModel(this.clock, {
@@ -209,56 +203,6 @@
     }
   }
 
-  // ---- disturbance
-
-  private disturb(): void {
-    const {disturbance} = this.options;
-    if (disturbance === 'shifting') this.shift();
-    if (disturbance === 'straggler') {
-      this.at(WARM_UP_MS, () =>
-        this.server(0).model.setSlowdown(STRAGGLER_SLOWDOWN),
-      );
-    }
-    if (disturbance === 'burst') this.scheduleBurst();
-    if (disturbance === 'coldStart') this.scheduleColdStart();
-    if (disturbance === 'drain') {
-      this.at(WARM_UP_MS + (this.endMs - WARM_UP_MS) / 2, () =>
-        this.drain(this.server(0)),
-      );
-    }
-  }
-
-  // A noisy neighbour comes to a fifth of the machines, others every 40 ms.
-  private shift(): void {
-    for (const server of this.servers) {
-      const noisy = this.disturbanceRandom() < SHIFTED_SHARE;
-      server.model.setSlowdown(noisy ? SHIFT_SLOWDOWN : 1);
-    }
-    if (this.clock.now < this.endMs) {
-      this.at(SHIFT_EVERY_MS * (0.5 + this.disturbanceRandom()), () =>
-        this.shift(),
-      );
-    }
-  }
-
-  private scheduleBurst(): void {
-    this.at(BURST_EVERY_MS, () => {
-      this.burst = BURST_FACTOR;
-      this.at(BURST_MS, () => (this.burst = 1));
-      if (this.clock.now < this.endMs) this.scheduleBurst();
-    });
-  }
-
-  private scheduleColdStart(): void {
-    this.at(WARM_UP_MS * 2, () => {
-      const server = this.server(0);
-      server.model.setSlowdown(COLD_SLOWDOWN);
-      server.gate = this.makeGate();
-      this.at(COLD_MS, () => server.model.setSlowdown(1));
-      if (this.clock.now < this.endMs) this.scheduleColdStart();
-    });
-  }
-
   private drain(server: TrialServer): void {
     this.execute(server, server.gate.drain());
     this.at(1_000, () => this.setServers());
@@ -274,12 +218,12 @@
     return server;
   }
 
-  // ---- calls
-
   private scheduleArrival(gateway: TrialGateway): void {
     const {site, load} = this.options;
     const perMs =
-      (capacityOf(site) * load * this.burst) / site.gateways / 1_000;
+      (capacityOf(site) * load * this.disturber.loadFactor) /
+      site.gateways /
+      1_000;
     const gap = -Math.log(1 - this.arrivalRandom()) / perMs;
     this.at(gap, () => {
       if (this.clock.now >= this.endMs) return;
@@ -482,8 +426,6 @@
     });
   }
 
-  // ---- helpers
-
   private trueTimeMs(id: string): number {
     const server = this.servers.find(s => s.id === id);
     if (server === undefined) return Infinity;
@@ -513,52 +455,3 @@
     return ms * (0.8 + 0.4 * this.random());
   }
 }
-
-/** How far the policies are from perfect knowledge. */
-class IdealPolicy extends RoutingPolicy {
-  override readonly name = 'expectedTime';
-
-  constructor(private readonly timeMs: (id: string) => number) {
-    super();
-  }
-
-  override choose(candidates: readonly ServerView[]): Choice {
-    const best = candidates.reduce((a, b) =>
-      this.timeMs(b.id) < this.timeMs(a.id) ? b : a,
-    );
-    return {view: best, reason: 'shortest true time'};
-  }
-}
-
-/** One call under the live plan. */
-class TrialCall {
-  onEnd: (ok: boolean) => void = () => undefined;
-  onSend: (command: CallCommand & {type: 'send'}) => void = () => undefined;
-  succeeded = false;
-  private readonly plan: CallPlan;
-
-  constructor(
-    readonly startedAt: number,
-    router: ServiceRouter,
-    rules: ServiceRules,
-  ) {
-    this.plan = new CallPlan({
-      repeatable: true,
-      retriesLeft: rules.maxRetries,
-      takeRetry: () => router.takeRetry(),
-      takeHedge: () => router.takeHedge(),
-    });
-  }
-
-  begin(): void {
-    this.handle({type: 'begin'});
-  }
-
-  handle(event: Parameters<CallPlan['handle']>[0]): void {
-    for (const command of this.plan.handle(event)) {
-      if (command.type === 'send') this.onSend(command);
-      if (command.type === 'deliver') this.onEnd(this.succeeded);
-      if (command.type === 'fail') this.onEnd(false);
-    }
-  }
-}
--- /dev/null
+++ b/packages/bench/src/virtual/trial_call.ts
@@ -0,0 +1,38 @@
+/** One call of a routing trial. */
+import {CallPlan} from '@goldcresthill/attempts';
+import type {CallCommand} from '@goldcresthill/attempts';
+import type {ServiceRouter} from '@goldcresthill/routing';
+import type {ServiceRules} from '@goldcresthill/types';
+
+/** One call under the live plan. */
+export class TrialCall {
+  onEnd: (ok: boolean) => void = () => undefined;
+  onSend: (command: CallCommand & {type: 'send'}) => void = () => undefined;
+  succeeded = false;
+  private readonly plan: CallPlan;
+
+  constructor(
+    readonly startedAt: number,
+    router: ServiceRouter,
+    rules: ServiceRules,
+  ) {
+    this.plan = new CallPlan({
+      repeatable: true,
+      retriesLeft: rules.maxRetries,
+      takeRetry: () => router.takeRetry(),
+      takeHedge: () => router.takeHedge(),
+    });
+  }
+
+  begin(): void {
+    this.handle({type: 'begin'});
+  }
+
+  handle(event: Parameters<CallPlan['handle']>[0]): void {
+    for (const command of this.plan.handle(event)) {
+      if (command.type === 'send') this.onSend(command);
+      if (command.type === 'deliver') this.onEnd(this.succeeded);
+      if (command.type === 'fail') this.onEnd(false);
+    }
+  }
+}
--- a/packages/budgets/src/budgets_test.ts
+++ b/packages/budgets/src/budgets_test.ts
@@ -1,3 +1,4 @@
+import {InvariantError} from '@goldcresthill/types';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {RatioBudget} from './ratio_budget';
@@ -26,6 +27,18 @@
     );
   });
 
+  it('is seen to find a grant beyond its budget', () => {
+    const bucket = new TokenBucket(0, {perSecond: 1, burst: 1});
+    bucket.take(0);
+    // What a fault in refilling would do.
+    Object.assign(bucket, {tokens: 5});
+    expect(() => bucket.take(0)).toThrow(InvariantError);
+    const ratio = new RatioBudget({percent: 10, burst: 1});
+    ratio.take();
+    Object.assign(ratio, {saved: 5});
+    expect(() => ratio.take()).toThrow(InvariantError);
+  });
+
   it('grants nothing more for a change of rate', () => {
     const bucket = new TokenBucket(0, {perSecond: 100, burst: 100});
     for (let i = 0; i < 50; i++)
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
 /** Members of the fleet: who there is, who can be reached, and how news spreads. */
 export {Membership} from './membership';
-export type {MemberCommand, MembershipOptions} from './membership';
+export type {MemberCommand, MembershipOptions} from './membership_types';
 export {messageBytes, recordBytes} from './exchange_message';
 export type {ExchangeMessage, MemberNews} from './exchange_message';
 export {compareRecords, isNewer, recordHash} from './member_record';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -4,61 +4,15 @@
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
 import {isMostlySuspect} from './cut_detector';
 import {DomainContacts} from './domain_contacts';
-import {
-  BASE_BYTES,
-  BYTES_PER_BUCKET,
-  messageBytes,
-  NEWS_BYTES,
-  recordBytes,
-} from './exchange_message';
+import {BASE_BYTES, messageBytes} from './exchange_message';
 import type {ExchangeMessage, MemberNews} from './exchange_message';
 import type {MemberRecord, MemberStatus} from './member_record';
 import {isGone, isNewer} from './member_record';
-import {BUCKETS, MemberTable} from './member_table';
-import {RumorQueue} from './rumor_queue';
+import {MemberTable} from './member_table';
+import type {MemberCommand, MembershipOptions} from './membership_types';
+import {NewsDesk} from './news_desk';
 import {successorsOf} from './successors';
 
-/** What the owner of the sockets is to do. */
-export type MemberCommand =
-  | {
-      readonly type: 'exchange';
-      readonly to: NodeAddress;
-      readonly message: ExchangeMessage;
-    }
-  | {
-      readonly type: 'probeFor';
-      readonly target: NodeAddress;
-      readonly message: ExchangeMessage;
-      readonly origin: string;
-    }
-  | {readonly type: 'membersChanged'}
-  | {
-      readonly type: 'statusChanged';
-      readonly nodeId: string;
-      readonly status: MemberStatus;
-      readonly reason: string;
-    }
-  | {readonly type: 'news'; readonly news: MemberNews}
-  | {
-      readonly type: 'fetchConfig';
-      readonly from: NodeAddress;
-      readonly revision: number;
-    };
-
-/** What membership starts from. */
-export interface MembershipOptions {
-  readonly self: NodeAddress;
-  readonly incarnation: number;
-  readonly random: () => number;
-  readonly roundMs?: number;
-  readonly suspicionMs?: number;
-  readonly bytesPerSecond?: number;
-  /** Nodes watched in the own domain. */
-  readonly successors?: number;
-  /** Off: a lost domain is taken for that many deaths. */
-  readonly cutDetection?: boolean;
-}
-
 const DEFAULT_ROUND_MS = 1_000;
 const SUSPICION_ROUNDS = 4;
 const DEFAULT_BYTES_PER_SECOND = 9_000;
@@ -69,10 +23,6 @@
 const FANOUT = 3;
 /** Nodes asked to reach one that does not answer. */
 const HELPERS = 2;
-/** How often one item of news is told. */
-const TELL_LIMIT = 4;
-/** Bytes of records in one message. */
-const MESSAGE_BYTES = 4_096;
 /** Every this many rounds a dead node is tried again. */
 const RETRY_ROUNDS = 5;
 /** Time for which a dead or departed node is remembered, milliseconds. */
@@ -83,8 +33,7 @@
 /** Membership of one node. Time and randomness are passed in. */
 export class Membership {
   private readonly table = new MemberTable();
-  private readonly hot = new RumorQueue<MemberRecord>();
-  private readonly news = new RumorQueue<MemberNews>();
+  private readonly desk: NewsDesk;
   private readonly misses = new Map<string, number>();
   private readonly suspectedAt = new Map<string, Millis>();
   private readonly bytes: TokenBucket;
@@ -97,9 +46,6 @@
   private round = 0;
   private cursor = 0;
   private pushDue = false;
-  private readonly tableDiffers = new Set<string>();
-  /** Digests of peers whose tables differ, until they have been answered. */
-  private readonly peerBuckets = new Map<string, readonly number[]>();
   private configRevision = 0;
   private self: MemberRecord;
 
@@ -109,6 +55,7 @@
   ) {
     this.roundMs = options.roundMs ?? DEFAULT_ROUND_MS;
     this.suspicionMs = options.suspicionMs ?? this.roundMs * SUSPICION_ROUNDS;
+    this.desk = new NewsDesk(this.table, options.random);
     this.contacts = new DomainContacts(options.self);
     const perSecond = options.bytesPerSecond ?? DEFAULT_BYTES_PER_SECOND;
     this.bytes = new TokenBucket(now, {
@@ -125,7 +72,7 @@
       servers: [],
     };
     this.table.merge(now, this.self);
-    this.hot.add(options.self.nodeId, this.self);
+    this.desk.addRecord(this.self);
   }
 
   /** Lets time pass; to be called every tenth of a round or so. */
@@ -216,8 +163,7 @@
 
   /** Spreads news at once; the caller has checked that it is new. */
   spread(now: Millis, news: MemberNews): MemberCommand[] {
-    const name = `${news.type}:${news.fingerprint}:${'instance' in news ? news.instance : ''}`;
-    this.news.add(name, news);
+    this.desk.addNews(news);
     const commands: MemberCommand[] = [];
     this.push(now, commands);
     return commands;
@@ -261,7 +207,7 @@
   ): MemberCommand[] {
     this.self = {...this.self, ...change, version: this.self.version + 1};
     this.table.merge(now, this.self);
-    this.hot.add(this.self.address.nodeId, this.self);
+    this.desk.addRecord(this.self);
     this.pushDue = true;
     return [{type: 'membersChanged'}];
   }
@@ -273,11 +219,7 @@
     message.records.forEach(record => this.take(now, record, commands, true));
     this.meet(now, message.from, commands);
     for (const news of message.news) commands.push({type: 'news', news});
-    const peer = message.from.nodeId;
-    if (message.digest === this.table.digest) this.tableDiffers.delete(peer);
-    else this.tableDiffers.add(peer);
-    if (message.buckets.length === BUCKETS)
-      this.peerBuckets.set(peer, message.buckets);
+    this.desk.compare(message);
     if (message.configRevision > this.configRevision) {
       const revision = message.configRevision;
       commands.push({type: 'fetchConfig', from: message.from, revision});
@@ -338,7 +280,7 @@
       'membership.order',
       () => nodeId,
     );
-    if (spread) this.hot.add(nodeId, record);
+    if (spread) this.desk.addRecord(record);
     this.pushDue = this.pushDue || spread;
     if (before?.status !== record.status) this.linksStale = true;
     if (record.status === 'suspect') this.suspectedAt.set(nodeId, now);
@@ -410,7 +352,7 @@
   ): void {
     const next = {...record, status};
     this.table.merge(now, next);
-    this.hot.add(record.address.nodeId, next);
+    this.desk.addRecord(next);
     this.pushDue = true;
     this.linksStale = true;
     const {nodeId} = record.address;
@@ -474,7 +416,7 @@
       if (peer !== undefined) this.send(now, peer, commands, undefined);
     }
     // What is left to tell goes out with the next tick.
-    if (this.hot.size > 0 || this.news.size > 0) this.pushDue = true;
+    if (this.desk.hasNews) this.pushDue = true;
   }
 
   private send(
@@ -492,49 +434,11 @@
   }
 
   private compose(now: Millis, peer: string): ExchangeMessage {
-    let room = Math.min(MESSAGE_BYTES, this.bytes.available(now) - BASE_BYTES);
-    const news = this.news.take(
-      TELL_LIMIT,
-      Math.min(room, 1_024),
-      () => NEWS_BYTES,
-    );
-    room -= news.length * NEWS_BYTES;
-    const buckets =
-      this.tableDiffers.has(peer) && room > BUCKETS * BYTES_PER_BUCKET;
-    if (buckets) room -= BUCKETS * BYTES_PER_BUCKET;
-    const records = this.hot.take(TELL_LIMIT, Math.max(0, room), recordBytes);
-    room -= records.reduce((sum, r) => sum + recordBytes(r), 0);
-    records.push(...this.missingRecords(peer, room));
-    return {
-      from: this.self.address,
-      records,
-      news,
-      digest: this.table.digest,
-      buckets: buckets ? [...this.table.bucketDigests] : [],
+    return this.desk.compose(peer, {
+      self: this.self.address,
       configRevision: this.configRevision,
-      probeTarget: undefined,
-      probeReached: false,
-    };
-  }
-
-  /** Records of the parts that a peer has shown to differ. */
-  private missingRecords(peer: string, room: number): MemberRecord[] {
-    const digests = this.peerBuckets.get(peer);
-    if (digests === undefined) return [];
-    this.peerBuckets.delete(peer);
-    const records: MemberRecord[] = [];
-    let left = room;
-    const start = Math.floor(this.options.random() * BUCKETS);
-    for (let i = 0; i < BUCKETS; i++) {
-      const bucket = (start + i) % BUCKETS;
-      if (digests[bucket] === this.table.bucketDigests[bucket]) continue;
-      for (const record of this.table.inBucket(bucket)) {
-        left -= recordBytes(record);
-        if (left < 0) return records;
-        records.push(record);
-      }
-    }
-    return records;
+      bytesLeft: this.bytes.available(now),
+    });
   }
 
   private refreshLinks(): void {
--- /dev/null
+++ b/packages/membership/src/membership_types.ts
@@ -0,0 +1,45 @@
+/** What membership starts from, and what it commands. */
+import type {NodeAddress} from '@goldcresthill/types';
+import type {ExchangeMessage, MemberNews} from './exchange_message';
+import type {MemberStatus} from './member_record';
+
+/** What the owner of the sockets is to do. */
+export type MemberCommand =
+  | {
+      readonly type: 'exchange';
+      readonly to: NodeAddress;
+      readonly message: ExchangeMessage;
+    }
+  | {
+      readonly type: 'probeFor';
+      readonly target: NodeAddress;
+      readonly message: ExchangeMessage;
+      readonly origin: string;
+    }
+  | {readonly type: 'membersChanged'}
+  | {
+      readonly type: 'statusChanged';
+      readonly nodeId: string;
+      readonly status: MemberStatus;
+      readonly reason: string;
+    }
+  | {readonly type: 'news'; readonly news: MemberNews}
+  | {
+      readonly type: 'fetchConfig';
+      readonly from: NodeAddress;
+      readonly revision: number;
+    };
+
+/** What membership starts from. */
+export interface MembershipOptions {
+  readonly self: NodeAddress;
+  readonly incarnation: number;
+  readonly random: () => number;
+  readonly roundMs?: number;
+  readonly suspicionMs?: number;
+  readonly bytesPerSecond?: number;
+  /** Nodes watched in the own domain. */
+  readonly successors?: number;
+  /** Off: a lost domain is taken for that many deaths. */
+  readonly cutDetection?: boolean;
+}
--- a/packages/node/src/node_test.ts
+++ b/packages/node/src/node_test.ts
@@ -206,6 +206,18 @@
       );
     });
 
+    it('is seen to cut off what runs when a node stops at once', async () => {
+      await start({meanMs: 400});
+      const headers = {'gh-deadline-ms': '1500'};
+      const calls = Array.from({length: 9}, () =>
+        fleet.call(1, 'POST', '/order', headers, 'a'),
+      );
+      await fleet.until(() => fleet.member(0).server.inFlight > 0);
+      await fleet.member(0).node.close();
+      const answers = await Promise.all(calls);
+      expect(answers.map(a => a.runState)).toContain('unknown');
+    });
+
     it('sets a request that crashes servers apart after two', async () => {
       await start();
       const outcomes: string[] = [];
