Claims on keys are swept after their time, by the nodes in turn

Cause: nothing removed claims, so that the store grew by an object a keyed call. Change: claims lie in 4,096 parts; the wall clock gives each part its turn of 20 s, and the node with the greatest hash for it removes what is old, by version. Fleets of experiments start nodes as operators are advised to, with a small young heap. Figures: in virtual time 50 claims of an age of 24 h went within a pass of 22.8 h, 50 younger ones stayed, a claim taken over meanwhile stayed; the three nodes shared the work.

--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -4,7 +4,15 @@
 export {attemptKey, parseAttemptKey} from './attempt_key';
 export {CallPlan} from './call_plan';
 export type {CallCommand, CallEvent, CallPlanOptions} from './call_plan';
-export {KeyClaim, claimPath} from './key_claim';
+export {
+  CLAIM_SHARDS,
+  claimPath,
+  isClaimExpired,
+  SHARD_TURN_MS,
+  shardDue,
+  shardPrefix,
+} from './claim_sweep';
+export {KeyClaim} from './key_claim';
 export type {
   ClaimCommand,
   ClaimEvent,
--- a/packages/attempts/src/key_claim.ts
+++ b/packages/attempts/src/key_claim.ts
@@ -61,12 +61,6 @@
 type ClaimState = 'writing' | 'reading' | 'asking' | 'ended';
 
 const AGAIN_MS = 50;
-const CLAIMS_PREFIX = 'claims/';
-
-/** Path of the object that holds the claim on a key. */
-export function claimPath(service: string, key: string): string {
-  return `${CLAIMS_PREFIX}${service}/${encodeURIComponent(key)}`;
-}
 
 /**
  * Aggregate for one call's claim. `run` is commanded at most once, and only
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -45,6 +45,8 @@
 
 const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** As operators are advised to start nodes whose memory is bounded. */
+const SMALL_HEAP = '--max-semi-space-size=2';
 
 /** Processes that this fleet has started; it ends them, and only them. */
 export class Fleet {
@@ -202,6 +204,7 @@
   private run(args: readonly string[], input = ''): ChildProcess {
     const [program = process.execPath, ...leading] = this.options.command;
     const child = spawn(program, [...leading, ...args], {
+      env: {...process.env, NODE_OPTIONS: SMALL_HEAP},
       stdio: [
         'pipe',
         this.options.onLog === undefined ? 'ignore' : 'pipe',
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -10,4 +10,4 @@
 export {successorsOf} from './successors';
 export {RumorQueue} from './rumor_queue';
 export {isMostlySuspect} from './cut_detector';
-export {watchersOf} from './watchers';
+export {ownerOf, watchersOf} from './watchers';
--- a/packages/membership/src/watchers.ts
+++ b/packages/membership/src/watchers.ts
@@ -26,3 +26,20 @@
 function weightOf(node: NodeAddress): number {
   return hashText(`watch|${node.nodeId}`);
 }
+
+/** The node that is to do a task of this name: the one with the greatest hash. */
+export function ownerOf(
+  name: string,
+  reachable: ReadonlyArray<Pick<NodeAddress, 'nodeId'>>,
+): string | undefined {
+  let owner: string | undefined;
+  let highest = -1;
+  for (const {nodeId} of reachable) {
+    const weight = hashText(`${name}|${nodeId}`);
+    if (weight > highest || (weight === highest && nodeId < (owner ?? ''))) {
+      owner = nodeId;
+      highest = weight;
+    }
+  }
+  return owner;
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -13,6 +13,8 @@
   HandledOutcome,
 } from './gateway/call_handler';
 export type {AttemptHandle} from './gateway/call_runner';
+export {ClaimSweeper} from './gateway/claim_sweeper';
+export type {ClaimSweeperOptions} from './gateway/claim_sweeper';
 export type {
   OutgoingCall,
   OwnerReply,
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -1,5 +1,6 @@
 /** The tasks of a node and the messages between them. */
 import type {Logger} from '@goldcresthill/logger';
+import {ownerOf} from '@goldcresthill/membership';
 import type {MemberNews} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import type {ObjectStore, StoreBreaker} from '@goldcresthill/platform';
@@ -15,6 +16,7 @@
 import {DataListener} from './gate/data_listener';
 import {GateTask} from './gate/gate_task';
 import {HttpServerConnections} from './gate/server_connections';
+import {ClaimSweeper} from './gateway/claim_sweeper';
 import type {DecisionLog} from './gateway/decision_log';
 import {GatewayTask} from './gateway/gateway_task';
 import type {BodyBudget} from './http/body';
@@ -48,6 +50,8 @@
   readonly onFault: (err: unknown) => void;
 }
 
+const MILLIS_PER_HOUR = 3_600_000;
+
 /** All tasks of a node. */
 export class Tasks {
   readonly gate: GateTask;
@@ -56,6 +60,7 @@
   private readonly data: DataListener;
   private readonly controlListener: ControlListener;
   private readonly operator: OperatorTask;
+  private readonly sweeper: ClaimSweeper;
 
   constructor(private readonly options: TaskOptions) {
     this.gate = this.makeGate();
@@ -64,6 +69,7 @@
     this.data = this.makeData();
     this.controlListener = this.makeControlListener();
     this.operator = this.makeOperator();
+    this.sweeper = this.makeSweeper();
   }
 
   async listen(): Promise<NodePorts> {
@@ -81,6 +87,7 @@
   }
 
   async close(): Promise<void> {
+    this.sweeper.close();
     await Promise.all([
       this.control.close(),
       this.operator.close(),
@@ -188,6 +195,18 @@
     });
   }
 
+  private makeSweeper(): ClaimSweeper {
+    const {address, settings, store, timers} = this.options;
+    const {membership} = this.control.member;
+    return new ClaimSweeper({
+      store,
+      timers,
+      retentionMs: settings.keys.retention_hours * MILLIS_PER_HOUR,
+      isOwner: shard =>
+        ownerOf(`sweep|${shard}`, membership.reachable()) === address.nodeId,
+    });
+  }
+
   private onServers(servers: readonly ServerRecord[]): void {
     const summary = servers.map(s => `${s.service}:${s.state}`);
     this.options.logger.decision({what: 'servers', servers: summary});
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -47,6 +47,10 @@
   buffered_bytes: fields.integer(1_048_576, 1_073_741_824).default(33_554_432),
 });
 
+const KEYS = z.object({
+  retention_hours: fields.integer(1, 8_760).default(24),
+});
+
 const LOGS = z.object({
   level: fields.oneOf(['error', 'warn', 'info', 'debug']).default('info'),
   decision_percent: fields.decimal(0, 100).default(100),
@@ -58,6 +62,7 @@
   platform: PLATFORM,
   membership: MEMBERSHIP,
   callers: CALLERS,
+  keys: KEYS,
   logs: LOGS,
 };
 
--- a/packages/settings/src/settings_test.ts
+++ b/packages/settings/src/settings_test.ts
@@ -13,6 +13,9 @@
             "max_connections": 4096,
             "slow_sender_ms": 10000,
           },
+          "keys": {
+            "retention_hours": 24,
+          },
           "logs": {
             "buffered_lines": 2000,
             "decision_percent": 100,
@@ -60,12 +63,12 @@
     const named = faulty.replace('stray = 1\n', '');
     expect(formatFaults(parseSettings(named)._unsafeUnwrapErr()))
       .toMatchInlineSnapshot(`
-      "[nodes]: no such section; there are node, platform, membership, callers, logs
-      [node] hots = 10.0.0.1: no such key; did you mean host?
-      [node] id = vm 1: a name of letters, digits, dots, dashes or underscores
-      [node] domain: a name of letters, digits, dots, dashes or underscores
-      [node] caller_port = 70000: a whole number from 0 to 65535
-      [platform] url: an http or https URL"
-    `);
+        "[nodes]: no such section; there are node, platform, membership, callers, keys, logs
+        [node] hots = 10.0.0.1: no such key; did you mean host?
+        [node] id = vm 1: a name of letters, digits, dots, dashes or underscores
+        [node] domain: a name of letters, digits, dots, dashes or underscores
+        [node] caller_port = 70000: a whole number from 0 to 65535
+        [platform] url: an http or https URL"
+      `);
   });
 });
--- /dev/null
+++ b/packages/trials/src/call/claim_sweeper_test.ts
@@ -0,0 +1,68 @@
+import {CLAIM_SHARDS, claimPath, SHARD_TURN_MS} from '@goldcresthill/attempts';
+import {ownerOf} from '@goldcresthill/membership';
+import {ClaimSweeper} from '@goldcresthill/node';
+import {
+  MemoryPlatform,
+  seededRandom,
+  VirtualClock,
+  VirtualTimers,
+} from '@goldcresthill/test-utils';
+import {describe, expect, it} from 'vitest';
+import {WorldStore} from './world_store';
+
+const HOUR_MS = 3_600_000;
+const RETENTION_MS = 24 * HOUR_MS;
+const PASS_MS = CLAIM_SHARDS * SHARD_TURN_MS;
+const NODES = ['a', 'b', 'c'];
+
+function claims(platform: MemoryPlatform): number {
+  return platform.list('claims/').length;
+}
+
+function setUp() {
+  const clock = new VirtualClock();
+  const platform = new MemoryPlatform();
+  const all = NODES.map(nodeId => ({nodeId}));
+  const sweepers = NODES.map(nodeId => {
+    const timers = new VirtualTimers(clock);
+    const store = new WorldStore(clock, platform, seededRandom(1), () => 'up');
+    const isOwner = (shard: number): boolean =>
+      ownerOf(`sweep|${shard}`, all) === nodeId;
+    return new ClaimSweeper({
+      store,
+      timers,
+      retentionMs: RETENTION_MS,
+      isOwner,
+    });
+  });
+  const claim = (key: string): void => {
+    const value = JSON.stringify({claimedAtMs: clock.now});
+    platform.put(claimPath('orders', key), value, 0);
+  };
+  return {clock, platform, sweepers, claim};
+}
+
+describe('ClaimSweeper', () => {
+  it('removes each claim within a pass after its time, and none before', async () => {
+    const {clock, platform, sweepers, claim} = setUp();
+    for (let i = 0; i < 50; i++) claim(`old-${i}`);
+    await clock.runUntilSettled(RETENTION_MS - HOUR_MS);
+    for (let i = 0; i < 50; i++) claim(`new-${i}`);
+    expect(claims(platform)).toBe(100);
+    await clock.runUntilSettled(RETENTION_MS + PASS_MS + SHARD_TURN_MS);
+    expect(claims(platform)).toBe(50);
+    expect(sweepers.reduce((sum, s) => sum + s.claimsRemoved, 0)).toBe(50);
+    expect(sweepers.every(s => s.claimsRemoved > 0)).toBe(true);
+  });
+
+  it('leaves a claim that was taken over while it was swept', async () => {
+    const {clock, platform, claim} = setUp();
+    claim('k');
+    const path = claimPath('orders', 'k');
+    await clock.runUntilSettled(RETENTION_MS);
+    const version = platform.get(path)?.version ?? 0;
+    platform.put(path, JSON.stringify({claimedAtMs: clock.now}), version);
+    await clock.runUntilSettled(RETENTION_MS + PASS_MS);
+    expect(claims(platform)).toBe(1);
+  });
+});
