--- a/packages/node/src/node_test.ts
+++ b/packages/node/src/node_test.ts
@@ -184,7 +184,7 @@
 
     it('finishes what runs when a node leaves', async () => {
       await start({meanMs: 400});
-      const calls = Array.from({length: 9}, (_, i) =>
+      const calls = Array.from({length: 24}, (_, i) =>
         fleet.call(
           1,
           'POST',
@@ -209,7 +209,7 @@
     it('is seen to cut off what runs when a node stops at once', async () => {
       await start({meanMs: 400});
       const headers = {'gh-deadline-ms': '1500'};
-      const calls = Array.from({length: 9}, () =>
+      const calls = Array.from({length: 24}, () =>
         fleet.call(1, 'POST', '/order', headers, 'a'),
       );
       await fleet.until(() => fleet.member(0).server.inFlight > 0);
