Baselines wait for all of their time, as an ordinary balancer has them; a region cut off

Cause: since waiting requests leave a queue, the trial's baselines left it as well, so that they were no longer what their description says. Change: the gate takes an option for it, off in the baselines and in an arm of the ablation. 'bench spread' and a test cut the regions from each other.

--- a/packages/bench/src/virtual/arms.ts
+++ b/packages/bench/src/virtual/arms.ts
@@ -10,13 +10,14 @@
   | 'mechanisms'
   | 'adaptiveLimit'
   | 'deadlineAware'
+  | 'reroutesWaiting'
   | 'ideal'
 >;
 
 /** A baseline as an ordinary balancer has it: no hedging, no re-routing, unbounded queues. */
 function plain(policy: PolicyName): ArmOptions {
   const rules = {hedgePercent: 0, maxRetries: 0, queuePerSlot: 100_000};
-  return {policy, rules, deadlineAware: false};
+  return {policy, rules, deadlineAware: false, reroutesWaiting: false};
 }
 
 const OURS = {policy: 'expectedTime'} as const;
@@ -37,6 +38,7 @@
   'without error penalty': {...OURS, mechanisms: {errors: false}},
   'without probes': {...OURS, rules: {probePercent: 0}},
   'without shed limit': {...OURS, adaptiveLimit: false},
+  'without leaving queues': {...OURS, reroutesWaiting: false},
   'without deadline check': {...OURS, deadlineAware: false},
 } as const satisfies Record<string, ArmOptions>;
 
@@ -63,5 +65,6 @@
   'without error penalty',
   'without probes',
   'without shed limit',
+  'without leaving queues',
   'without deadline check',
 ];
--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -36,6 +36,7 @@
   /** Chooses by what no gateway can know: the true load and speed at this instant. */
   readonly ideal?: boolean;
   readonly deadlineAware?: boolean;
+  readonly reroutesWaiting?: boolean;
   /** Age that reports have when they arrive, milliseconds. */
   readonly staleMs?: number;
 }
@@ -169,6 +170,7 @@
       rules: this.rules,
       adaptive: this.options.adaptiveLimit,
       deadlineAware: this.options.deadlineAware,
+      reroutesWaiting: this.options.reroutesWaiting,
     });
   }
 
--- a/packages/bench/src/virtual/spread_experiment.ts
+++ b/packages/bench/src/virtual/spread_experiment.ts
@@ -22,6 +22,9 @@
   readonly deathBytesPerNode: number;
   readonly cutKnownMs: number | undefined;
   readonly cutHealedMs: number | undefined;
+  /** The same for all domains of the other region at once. */
+  readonly regionCutKnownMs: number | undefined;
+  readonly regionHealedMs: number | undefined;
   readonly falseDeaths: number;
   readonly outageEndStoreCallsInFirstSecond: number;
 }
@@ -58,6 +61,10 @@
   say(`death known after ${death.ms} ms`);
   const cut = await cutDomain(world);
   say(`cut known after ${cut.knownMs} ms, healed after ${cut.healedMs} ms`);
+  const region = await cutRegions(world);
+  say(
+    `region known after ${region.knownMs} ms, healed after ${region.healedMs} ms`,
+  );
   const rush = await endOutage(world);
   return {
     nodes,
@@ -71,7 +78,9 @@
     deathBytesPerNode: death.bytes / nodes,
     cutKnownMs: cut.knownMs,
     cutHealedMs: cut.healedMs,
-    falseDeaths: cut.falseDeaths,
+    regionCutKnownMs: region.knownMs,
+    regionHealedMs: region.healedMs,
+    falseDeaths: cut.falseDeaths + region.falseDeaths,
     outageEndStoreCallsInFirstSecond: rush,
   };
 }
@@ -132,6 +141,27 @@
   return {knownMs, healedMs, falseDeaths};
 }
 
+async function cutRegions(world: FleetWorld): Promise<{
+  knownMs: number | undefined;
+  healedMs: number | undefined;
+  falseDeaths: number;
+}> {
+  world.statuses.length = 0;
+  world.cutRegions();
+  const lost = DOMAINS / REGIONS;
+  const cutCount = (count: number) => (): boolean =>
+    world.living.every(
+      n => n.plane.member.membership.cutDomains.length === count,
+    );
+  const knownMs = await world.runUntil(cutCount(lost), BOUND_MS);
+  await world.run(REST_MS);
+  world.heal();
+  const healed = (): boolean => cutCount(0)() && world.agrees;
+  const healedMs = await world.runUntil(healed, BOUND_MS);
+  const falseDeaths = world.statuses.filter(s => s.endsWith('dead')).length;
+  return {knownMs, healedMs, falseDeaths};
+}
+
 // An outage long enough for every watch to end in a failure.
 async function endOutage(world: FleetWorld): Promise<number> {
   const OUTAGE_MS = 30_000;
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -16,6 +16,8 @@
   readonly rules: ServiceRules;
   /** Off: the limit does not follow what the server sheds. */
   readonly adaptive?: boolean;
+  /** Off: a request waits at this gate for all of its time. */
+  readonly reroutesWaiting?: boolean;
   /** Off: the queue does not look at deadlines. */
   readonly deadlineAware?: boolean;
 }
@@ -98,7 +100,8 @@
     if (this.queue.size >= this.queueBound) {
       return {type: 'refuse', kind: 'queueFull'};
     }
-    const patienceMs = (req.deadline - now) * QUEUE_SHARE;
+    const share = this.options.reroutesWaiting === false ? 1 : QUEUE_SHARE;
+    const patienceMs = (req.deadline - now) * share;
     this.queue.set(req.ref, {...req, leaveAt: now + patienceMs});
     if (req.suspect) this.suspects++;
     this.assertBounds();
--- a/packages/trials/src/member/fleet_world.ts
+++ b/packages/trials/src/member/fleet_world.ts
@@ -54,6 +54,7 @@
   readonly statuses: string[] = [];
   weather: StoreWeather = 'up';
   private boots = 0;
+  private regionsCut = false;
   private readonly cuts = new Set<string>();
   private readonly oneWayCuts = new Set<string>();
 
@@ -101,7 +102,13 @@
     this.oneWayCuts.add(domain);
   }
 
+  /** Nothing passes between regions. */
+  cutRegions(): void {
+    this.regionsCut = true;
+  }
+
   heal(): void {
+    this.regionsCut = false;
     this.cuts.clear();
     this.oneWayCuts.clear();
   }
@@ -210,6 +217,7 @@
   }
 
   private isLost(from: NodeAddress, to: NodeAddress): boolean {
+    if (this.regionsCut && from.region !== to.region) return true;
     if (from.domain !== to.domain) {
       if (this.cuts.has(from.domain) || this.cuts.has(to.domain)) return true;
       if (this.oneWayCuts.has(from.domain)) return true;
--- a/packages/trials/src/member/fleet_world_test.ts
+++ b/packages/trials/src/member/fleet_world_test.ts
@@ -87,6 +87,21 @@
     },
   );
 
+  it('does not take a region that is cut off for deaths', async () => {
+    const world = await joined({domains: 6, regions: 2});
+    world.cutRegions();
+    const seen = (): boolean =>
+      world.living.every(
+        n => n.plane.member.membership.cutDomains.length === 3,
+      );
+    expect(await world.runUntil(seen, KNOWN_BOUND_MS)).toBeDefined();
+    await world.run(60_000);
+    expect(world.statuses.filter(s => s.endsWith('dead'))).toEqual([]);
+    world.heal();
+    const healed = (): boolean => noCutSeen(world) && world.agrees;
+    expect(await world.runUntil(healed, KNOWN_BOUND_MS)).toBeDefined();
+  });
+
   it('is seen to take a cut for deaths without cut detection', async () => {
     const world = await joined({cutDetection: false});
     world.cut('d1');
