One piece of code where two or five did the same

Six files had a pause of their own, three experiments the same wait for a fleet to be up, both listeners the same way to end or stream an answer, and the call runner two near copies that settle an attempt. Change: pause is the one of node:timers/promises; Fleet.waitForServers; endWhole and pipeStream in http/answer_body.ts; one settle. Ruled out for now: the option types and constants that are alike in shape only.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -1,4 +1,5 @@
 /** The demo: a fleet under load with one server made slow and one drained. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {callerUrl, Fleet} from './fleet/fleet';
 import type {FleetMember} from './fleet/fleet';
 import {runLoad} from './load/open_loop';
@@ -113,9 +114,7 @@
   options.onProgress(
     `ticket 1 in force everywhere after ${Math.round(inForceMs)} ms`,
   );
-  await fleet.waitForAll(
-    status => status.servers.filter(s => s.state === 'up').length === 13,
-  );
+  await fleet.waitForServers(1, fleet.members.length);
   return inForceMs;
 }
 
@@ -264,7 +263,3 @@
   }
   return probes;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
--- a/packages/bench/src/fleet/capacity_experiment.ts
+++ b/packages/bench/src/fleet/capacity_experiment.ts
@@ -1,4 +1,5 @@
 /** Costs of a node at rest and under load, as base and slope. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {fitLine} from '../fit';
 import type {Line} from '../fit';
 import {runLoad} from '../load/open_loop';
@@ -117,12 +118,7 @@
   try {
     await fleet.start();
     await fleet.submit(ticketOf(1, 1));
-    await fleet.waitForAll(
-      s =>
-        s.configRevision === 1 &&
-        s.servers.filter(e => e.state === 'up').length === nodes,
-      60_000,
-    );
+    await fleet.waitForServers(1, nodes, 60_000);
     return await use(fleet);
   } finally {
     await fleet.close();
@@ -248,7 +244,3 @@
 ): number {
   return statuses.reduce((sum, status) => sum + value(status), 0);
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
--- a/packages/bench/src/fleet/fault_experiment.ts
+++ b/packages/bench/src/fleet/fault_experiment.ts
@@ -1,4 +1,5 @@
 /** Faults on real processes under load: kill -9, SIGSTOP, SIGTERM, a server's death, an outage of the store. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {request} from 'undici';
 import type {LoadResult} from '../load/open_loop';
 import {runLoad} from '../load/open_loop';
@@ -57,11 +58,7 @@
   try {
     await fleet.start();
     await fleet.submit(TICKET);
-    await fleet.waitForAll(
-      s =>
-        s.configRevision === 1 &&
-        s.servers.filter(e => e.state === 'up').length === SERVERS,
-    );
+    await fleet.waitForServers(1, SERVERS);
     const leaveCodes: Array<number | null> = [];
     const [streams] = await Promise.all([
       load(fleet, options),
@@ -208,7 +205,3 @@
   }
   return repeats;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,4 +1,5 @@
 /** A small fleet of real processes on this machine, for the demo and experiments. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {freePorts} from '@goldcresthill/test-utils';
@@ -101,6 +102,21 @@
     }
   }
 
+  /** Waits until every node holds a revision and sees so many servers up. */
+  async waitForServers(
+    revision: number,
+    count: number,
+    timeoutMs = START_TIMEOUT_MS,
+  ): Promise<void> {
+    const isUp = (server: {state: string}): boolean => server.state === 'up';
+    await this.waitForAll(
+      status =>
+        status.configRevision >= revision &&
+        status.servers.filter(isUp).length === count,
+      timeoutMs,
+    );
+  }
+
   /** Status of each node that answers. */
   async statuses(): Promise<FleetStatus[]> {
     const results = await Promise.all(
@@ -290,7 +306,3 @@
     return text;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
--- a/packages/bench/src/fleet/latency_experiment.ts
+++ b/packages/bench/src/fleet/latency_experiment.ts
@@ -67,11 +67,7 @@
   try {
     await fleet.start();
     await fleet.submit(TICKET);
-    await fleet.waitForAll(
-      s =>
-        s.configRevision === 1 &&
-        s.servers.filter(e => e.state === 'up').length === options.servers,
-    );
+    await fleet.waitForServers(1, options.servers);
     return await measure(fleet, options);
   } finally {
     await fleet.close();
--- a/packages/bench/src/load/open_loop.ts
+++ b/packages/bench/src/load/open_loop.ts
@@ -1,4 +1,5 @@
 /** Open-loop load: calls are sent when due, whether or not earlier ones were answered. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {performance} from 'node:perf_hooks';
 import {Histogram} from '@goldcresthill/metrics';
 import type {Percentiles} from '@goldcresthill/metrics';
@@ -164,7 +165,3 @@
     this.answered++;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -6,6 +6,7 @@
 import {encodeReport, HEADERS} from '@goldcresthill/protocol';
 import type {Timers} from '@goldcresthill/timers';
 import type {AttemptId} from '@goldcresthill/types';
+import {endWhole, pipeStream} from '../http/answer_body';
 import type {BodyBudget} from '../http/body';
 import {readBody} from '../http/body';
 import {endToEndHeaders} from '../http/header_filter';
@@ -260,22 +261,13 @@
     res.writeHead(503, own).end();
     return;
   }
+  const {status} = result;
   const headers = {...endToEndHeaders(result.headers), ...own};
   if (result.body.type === 'stream') {
-    const {stream} = result.body;
-    stream.on('error', () => res.destroy());
-    res.on('close', () => stream.destroy());
-    res.writeHead(result.status, headers);
-    stream.pipe(res);
+    pipeStream(res, {status, headers}, result.body.stream);
     return;
   }
   const {bytes} = result.body;
   headers[HEADERS.wholeBytes] = String(bytes.length);
-  const length = result.headers['content-length'];
-  // The answer to HEAD names a length without having a body.
-  const named =
-    bytes.length === 0 && typeof length === 'string' ? length : undefined;
-  if (result.status !== 204)
-    headers['content-length'] = named ?? String(bytes.length);
-  res.writeHead(result.status, headers).end(bytes);
+  endWhole(res, {status, headers, received: result.headers}, bytes);
 }
--- a/packages/node/src/gateway/answer_writer.ts
+++ b/packages/node/src/gateway/answer_writer.ts
@@ -5,6 +5,7 @@
 import {HEADERS} from '@goldcresthill/protocol';
 import type {RunState} from '@goldcresthill/types';
 import type {AttemptResult, KeptAnswer} from '../gate/messages';
+import {endWhole, pipeStream} from '../http/answer_body';
 import {endToEndHeaders} from '../http/header_filter';
 
 /** What goes with each answer. */
@@ -22,14 +23,12 @@
   result: AttemptResult & {type: 'answered'},
 ): void {
   if (result.body.type === 'stream') {
-    const {stream} = result.body;
-    stream.on('error', () => res.destroy());
-    res.on('close', () => stream.destroy());
-    res.writeHead(result.status, {
-      ...endToEndHeaders(result.headers),
-      ...ownHeaders(context, 'ran', false),
-    });
-    stream.pipe(res);
+    const own = ownHeaders(context, 'ran', false);
+    const head = {
+      status: result.status,
+      headers: {...endToEndHeaders(result.headers), ...own},
+    };
+    pipeStream(res, head, result.body.stream);
     return;
   }
   const {status, headers} = result;
@@ -47,13 +46,8 @@
     ...endToEndHeaders(answer.headers),
     ...ownHeaders(context, 'ran', false),
   };
-  const length = answer.headers['content-length'];
-  const named =
-    answer.body.length === 0 && typeof length === 'string' ? length : undefined;
-  if (answer.status !== 204) {
-    headers['content-length'] = named ?? String(answer.body.length);
-  }
-  res.writeHead(answer.status, headers).end(answer.body);
+  const {status} = answer;
+  endWhole(res, {status, headers, received: answer.headers}, answer.body);
 }
 
 /** Writes an error of a kind. */
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -232,7 +232,7 @@
     result: AttemptResult,
   ): void {
     entry.silenceTimer?.();
-    this.settleResult(entry, result);
+    this.settle(entry, outcomeOf(result), result);
     switch (result.type) {
       case 'answered':
         entry.result = result;
@@ -320,26 +320,20 @@
     this.done(outcome);
   }
 
-  private settleResult(entry: Attempt, result: AttemptResult): void {
-    if (entry.settled) return;
-    entry.settled = true;
-    this.env.router.settle(this.env.timers.now(), {
-      id: entry.pick.id,
-      elapsedMs: this.env.timers.now() - entry.startedAt,
-      report: result.report,
-      atGateUs: result.report === undefined ? undefined : result.gateUs,
-      outcome: outcomeOf(result),
-    });
-  }
-
-  private settle(entry: Attempt, outcome: PickResult['outcome']): void {
+  private settle(
+    entry: Attempt,
+    outcome: PickResult['outcome'],
+    result?: AttemptResult,
+  ): void {
     if (entry.settled) return;
     entry.settled = true;
-    this.env.router.settle(this.env.timers.now(), {
+    const now = this.env.timers.now();
+    const report = result?.report;
+    this.env.router.settle(now, {
       id: entry.pick.id,
-      elapsedMs: this.env.timers.now() - entry.startedAt,
-      report: undefined,
-      atGateUs: undefined,
+      elapsedMs: now - entry.startedAt,
+      report,
+      atGateUs: report === undefined ? undefined : result?.gateUs,
       outcome,
     });
   }
--- a/packages/test-utils/src/platform_server.ts
+++ b/packages/test-utils/src/platform_server.ts
@@ -1,4 +1,5 @@
 /** Stand-in of the platform's service over HTTP, with faults that can be switched on. */
+import {setTimeout as pause} from 'node:timers/promises';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -157,7 +158,3 @@
   const text = status === 204 ? '' : JSON.stringify(body);
   res.writeHead(status, {'content-type': 'application/json'}).end(text);
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(done => setTimeout(done, ms));
-}
