--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['dist/', '**/gen/', 'node_modules/']},
+  {ignores: ['dist/', 'target/', '**/gen/', 'node_modules/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -107,6 +107,9 @@
 /** Refusals that are sent elsewhere without touching the resend budget. */
 const FREE_REROUTES = 1;
 
+/** Refusals by the server itself. */
+const SERVER_REFUSALS: ReadonlySet<ErrorKind> = new Set(['shedByServer']);
+
 const OPEN: readonly AttemptState[] = ['picking', 'sent', 'resolving'];
 
 /**
@@ -217,13 +220,19 @@
     if (kind === 'quarantined') return this.fail(kind);
     this.lastRefusal = kind;
     if (this.attempts.length >= this.maxAttempts) return this.fail(kind);
-    this.reroutes++;
-    if (this.reroutes > FREE_REROUTES && !this.options.takeRetry()) {
+    if (!this.mayReroute(kind)) {
       return this.fail(kind);
     }
     return [this.send(false)];
   }
 
+  // A refusal of the gate has put no load on the server, one of the server has.
+  private mayReroute(kind: ErrorKind): boolean {
+    if (!SERVER_REFUSALS.has(kind)) this.reroutes++;
+    const free = !SERVER_REFUSALS.has(kind) && this.reroutes <= FREE_REROUTES;
+    return free || this.options.takeRetry();
+  }
+
   private broke(attempt: number, kind: ErrorKind): CallCommand[] {
     const entry = this.entry(attempt);
     if (entry.state === 'picking' || !OPEN.includes(entry.state)) return [];
@@ -280,8 +289,11 @@
 
   private hedge(): CallCommand[] {
     if (!this.options.repeatable || this.openCount() !== 1) return [];
+    if (this.retriesLeft <= 0) return [];
     if (this.attempts.length >= this.maxAttempts) return [];
-    return this.options.takeHedge() ? [this.send(true)] : [];
+    if (!this.options.takeHedge()) return [];
+    this.retriesLeft--;
+    return [this.send(true)];
   }
 
   // The error of one attempt does not win over another that may still succeed.
--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -384,6 +384,8 @@
       ref,
       deadline,
       suspect: false,
+      priority: 0,
+      objective: deadline,
     });
     if (admission.type === 'start') this.begin(server, ref);
     if (admission.type === 'refuse') this.refuse(server, ref);
--- a/packages/cli/src/commands/node/index.ts
+++ b/packages/cli/src/commands/node/index.ts
@@ -2,7 +2,7 @@
 import {formatFaults} from '@goldcresthill/ini-document';
 import {Logger} from '@goldcresthill/logger';
 import {Node} from '@goldcresthill/node';
-import {HttpObjectStore} from '@goldcresthill/platform';
+import {HttpObjectStore} from '@goldcresthill/object-store';
 import {parseSettings} from '@goldcresthill/settings';
 import type {NodeSettings} from '@goldcresthill/settings';
 import {command, option, string} from 'cmd-ts';
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -26,12 +26,14 @@
   badDeadline: notRun(400, false),
   missingService: notRun(400, false),
   unknownService: notRun(404, false),
+  unknownRoute: notRun(404, false),
   bodyTooLarge: notRun(413, false),
   slowSender: notRun(408),
   tooDeep: notRun(508, false),
   wrongInterface: notRun(421, false),
 
   // The fleet would not run it.
+  noConfiguration: notRun(503),
   noServer: notRun(503),
   overloaded: notRun(503),
   queueFull: notRun(503),
--- /dev/null
+++ b/packages/gate/src/announcement_order.ts
@@ -0,0 +1,36 @@
+/** Tells announcements of a server that are news from those that arrive late. */
+
+/** What orders the announcements of one VM's server. */
+export interface AnnouncementMark {
+  readonly instance: string;
+  /** When the server process started, milliseconds since 1970 by its own clock. */
+  readonly startedAt: number;
+  /** Rises with each announcement of the process; infinite for its last word. */
+  readonly sequence: number;
+}
+
+/** Remembers the newest announcement of the newest process. */
+export class AnnouncementOrder {
+  private newest: AnnouncementMark | undefined;
+
+  /** Whether an announcement is news; if so it becomes the newest. */
+  accept(mark: AnnouncementMark): boolean {
+    const {newest} = this;
+    if (newest !== undefined && !isNewer(mark, newest)) return false;
+    this.newest = mark;
+    return true;
+  }
+
+  /** The process that announced last. */
+  get current(): AnnouncementMark | undefined {
+    return this.newest;
+  }
+}
+
+function isNewer(mark: AnnouncementMark, newest: AnnouncementMark): boolean {
+  if (mark.startedAt !== newest.startedAt) {
+    return mark.startedAt > newest.startedAt;
+  }
+  if (mark.instance !== newest.instance) return true;
+  return mark.sequence > newest.sequence;
+}
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -29,6 +29,10 @@
   readonly deadline: Millis;
   /** Whether the same request was in flight at a server that died. */
   readonly suspect: boolean;
+  /** Rank of the call; 0 goes first. */
+  readonly priority: number;
+  /** Instant up to which an answer is worth its full value. */
+  readonly objective: Millis;
 }
 
 /** Answer to a request that has just arrived. */
@@ -46,6 +50,7 @@
   | {readonly type: 'refuse'; readonly ref: number; readonly kind: ErrorKind}
   | {readonly type: 'drained'};
 
+const PERCENT = 100;
 /** Share of the time left that a request waits at one gate. */
 const QUEUE_SHARE = 0.3;
 
@@ -74,6 +79,7 @@
   private suspects = 0;
   private status: ServerState = 'up';
   private drainedTold = false;
+  private slowdown = 1;
 
   constructor(
     now: Millis,
@@ -81,8 +87,9 @@
   ) {
     this.rules = options.rules;
     this.slots = Math.max(1, Math.min(options.slots, options.rules.maxSlots));
+    const {slotPercent} = options.rules;
     this.limit = new AdaptiveLimit({
-      slots: this.slots,
+      slots: Math.max(1, Math.floor((this.slots * slotPercent) / PERCENT)),
       startedAt: now,
       warmUpMs: options.rules.warmUpMs,
       adaptive: options.adaptive,
@@ -164,6 +171,11 @@
     this.limit.configure(rules.warmUpMs);
   }
 
+  /** The server says how many times longer than usual work takes now. */
+  learnSlowdown(slowdown: number): void {
+    this.slowdown = slowdown;
+  }
+
   /** Load as this gate counts it. */
   report(now: Millis): LoadReport {
     return {
@@ -171,6 +183,7 @@
       queued: this.queue.size,
       limit: this.limit.current(now),
       serviceUs: Math.round(this.service.estimateUs(now)),
+      slowdown: this.slowdown,
       state: this.status,
     };
   }
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -8,6 +8,8 @@
   ref,
   deadline: 1_000,
   suspect,
+  priority: 0,
+  objective: 1_000,
 });
 
 function gate(slots = 2): Gate {
@@ -41,7 +43,7 @@
     subject.admit(0, request(1));
     subject.finish(100, 1, 'ok');
     subject.admit(100, request(2));
-    const late = {ref: 3, deadline: 150, suspect: false};
+    const late = {...request(3), deadline: 150};
     expect(subject.admit(100, late)).toEqual({
       type: 'refuse',
       kind: 'deadlineTooShort',
@@ -126,6 +128,8 @@
             const told = subject.admit(now, {
               ref: now,
               deadline: now + pick,
+              priority: 0,
+              objective: now + pick,
               suspect,
             });
             if (told.type === 'start') running.add(now);
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -9,3 +9,5 @@
 } from './gate';
 export {AdaptiveLimit} from './adaptive_limit';
 export {ServiceTime} from './service_time';
+export {AnnouncementOrder} from './announcement_order';
+export type {AnnouncementMark} from './announcement_order';
--- /dev/null
+++ b/packages/node/src/config/config_follower.ts
@@ -0,0 +1,134 @@
+/** Follows one object of the store, which holds the configuration. */
+import type {
+  ObjectStore,
+  StoreBreaker,
+  StoredObject,
+} from '@goldcresthill/object-store';
+import type {Cancel, Timers} from '@goldcresthill/timers';
+import type {Result} from 'neverthrow';
+
+/** What a follower starts from. */
+export interface ConfigFollowerOptions<T> {
+  readonly timers: Timers;
+  readonly store: ObjectStore;
+  readonly breaker: StoreBreaker;
+  /** Object of the store. */
+  readonly path: string;
+  /** Reads the object; fails with what is wrong with it. */
+  readonly decode: (text: string) => Result<T, string>;
+  /** Rises from one configuration to the next. */
+  /** Nodes of the fleet, which watch in turn. */
+  readonly nodes: () => number;
+  readonly versionOf: (config: T) => number;
+  readonly onConfig: (config: T, source: string) => void;
+  /** The store can, or can no longer, be read. */
+  readonly onStore: (reachable: boolean) => void;
+  /** An object that cannot be used; the configuration in force stays. */
+  readonly onInvalid: (reason: string) => void;
+}
+
+/** Time after which some node of the fleet renews its watch, so that watches gone silent are noticed, milliseconds. */
+const FLEET_RENEWAL_MS = 1_500;
+const MIN_WATCH_MS = 3_000;
+/** Below the longest wait that the store allows, milliseconds. */
+const MAX_WATCH_MS = 25_000;
+/** Wait before a first read that found nothing is made again, milliseconds. */
+const ABSENT_MS = 250;
+
+/** Holds the newest configuration of one process; it never takes an older one. */
+export class ConfigFollower<T> {
+  private held: {config: T; text: string} | undefined;
+  private revision = 0;
+  private timer: Cancel | undefined;
+  private closed = false;
+  private reachable = true;
+
+  constructor(private readonly options: ConfigFollowerOptions<T>) {}
+
+  /** Reads, then waits for changes, until closed. */
+  async start(): Promise<void> {
+    while (!this.closed) {
+      const waitMs = await this.step();
+      if (waitMs > 0) await this.pause(waitMs);
+    }
+  }
+
+  /** Version in force; 0 before the first. */
+  get version(): number {
+    return this.held === undefined
+      ? 0
+      : this.options.versionOf(this.held.config);
+  }
+
+  get current(): T | undefined {
+    return this.held?.config;
+  }
+
+  /** Text of the configuration in force, for nodes that cannot read the store. */
+  get text(): string | undefined {
+    return this.held?.text;
+  }
+
+  /** Takes a configuration from the store or from another node. */
+  offer(text: string, source: string): void {
+    const decoded = this.options.decode(text);
+    if (decoded.isErr()) {
+      this.options.onInvalid(decoded.error);
+      return;
+    }
+    const config = decoded.value;
+    if (this.options.versionOf(config) <= this.version) return;
+    this.held = {config, text};
+    this.options.onConfig(config, source);
+  }
+
+  close(): void {
+    this.closed = true;
+    this.timer?.();
+  }
+
+  /** One read; answers how long to wait before the next, milliseconds. */
+  private async step(): Promise<number> {
+    const {breaker, timers, store, path} = this.options;
+    if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
+    const read =
+      this.revision === 0
+        ? await store.get(path)
+        : await store.watch(path, this.revision, this.watchMs);
+    if (this.closed) return 0;
+    if (read.isErr()) {
+      breaker.fail(timers.now());
+      this.noteReachable(false);
+      // A watch that failed may have missed a change.
+      this.revision = 0;
+      return breaker.waitMs(timers.now());
+    }
+    breaker.succeed();
+    this.noteReachable(true);
+    return this.take(read.value);
+  }
+
+  private get watchMs(): number {
+    const shared = this.options.nodes() * FLEET_RENEWAL_MS;
+    return Math.min(MAX_WATCH_MS, Math.max(MIN_WATCH_MS, shared));
+  }
+
+  private take(object: StoredObject | undefined): number {
+    if (object === undefined) return this.revision === 0 ? ABSENT_MS : 0;
+    this.revision = object.version;
+    this.offer(object.value, 'store');
+    return 0;
+  }
+
+  private noteReachable(reachable: boolean): void {
+    if (reachable === this.reachable) return;
+    this.reachable = reachable;
+    this.options.onStore(reachable);
+  }
+
+  private pause(waitMs: number): Promise<void> {
+    return new Promise(done => {
+      this.timer = this.options.timers.after(waitMs, done);
+    });
+  }
+}
--- a/packages/node/src/config/config_task.ts
+++ b/packages/node/src/config/config_task.ts
@@ -4,7 +4,7 @@
   ObjectStore,
   StoreBreaker,
   StoredObject,
-} from '@goldcresthill/platform';
+} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {
   CONFIGURATION_PATH,
--- a/packages/node/src/control_plane.ts
+++ b/packages/node/src/control_plane.ts
@@ -5,7 +5,7 @@
   MemberNews,
   MemberRecord,
 } from '@goldcresthill/membership';
-import type {ObjectStore, StoreBreaker} from '@goldcresthill/platform';
+import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {Configuration, Ticket, TicketAnswer} from '@goldcresthill/tickets';
 import type {Timers} from '@goldcresthill/timers';
 import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -27,6 +27,8 @@
     answer: OwnerAnswer;
     kept: KeptAnswer | undefined;
   };
+  /** Configuration in force as it was read, for nodes that cannot read it themselves. */
+  readonly configText?: () => string | undefined;
 }
 
 /** Operations besides calls, named by the path. */
@@ -35,6 +37,7 @@
   resolve: '/.gh/resolve',
   acknowledge: '/.gh/acknowledge',
   key: '/.gh/key/',
+  config: '/.gh/config',
 } as const;
 
 const MAX_BODY_BYTES = 67_108_864;
@@ -81,6 +84,7 @@
       this.options.gate.post({type: 'acknowledge', id});
       res.writeHead(204).end();
     } else if (path.startsWith(OPERATIONS.key)) this.askKey(path, req, res);
+    else if (path === OPERATIONS.config) this.config(res);
     else refuse(res, 'wrongInterface');
   }
 
@@ -124,6 +128,7 @@
       refuse(res, 'badHeader');
       return;
     }
+    const now = this.options.timers.now();
     const request: AttemptRequest = {
       id,
       once,
@@ -134,9 +139,9 @@
       path: req.url ?? '/',
       headers: toServer(req, service),
       body,
-      deadline:
-        this.options.timers.now() +
-        Number(header(req, HEADERS.deadlineMs) ?? 0),
+      deadline: now + count(req, HEADERS.deadlineMs),
+      priority: count(req, HEADERS.priority),
+      objective: now + count(req, HEADERS.objectiveMs),
       suspect: header(req, HEADERS.suspect) === '1',
       reply: result => writeResult(res, attempt, result),
     };
@@ -179,6 +184,12 @@
     this.options.gate.post({type: 'resolve', id, gateIncarnation, reply});
   }
 
+  private config(res: ServerResponse): void {
+    const text = this.options.configText?.();
+    if (text === undefined) refuse(res, 'noServer');
+    else res.writeHead(200, {'content-type': 'application/json'}).end(text);
+  }
+
   private askKey(
     path: string,
     req: IncomingMessage,
@@ -199,6 +210,12 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/** Number in a header of another gateway; 0 without one. */
+function count(req: IncomingMessage, name: string): number {
+  const value = Number(header(req, name) ?? 0);
+  return Number.isFinite(value) ? value : 0;
+}
+
 function toServer(req: IncomingMessage, service: string) {
   const headers = endToEndHeaders(req.headers);
   headers[HEADERS.service] = service;
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -1,7 +1,9 @@
 /** Task that owns the servers of this VM and the ledger of attempts. */
 import {AttemptLedger} from '@goldcresthill/attempts';
 import type {ErrorKind} from '@goldcresthill/errors';
+import {AnnouncementOrder} from '@goldcresthill/gate';
 import type {Cancel, Timers} from '@goldcresthill/timers';
+import type {ServerLoadReport} from '@goldcresthill/peers';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
 import type {
   AttemptId,
@@ -20,6 +22,7 @@
   KeptAnswer,
 } from './messages';
 import type {ServerConnections} from './server_connections';
+import type {ServerInterface} from './server_interface';
 import {ServerLink} from './server_link';
 
 /** What the task starts from. */
@@ -29,11 +32,15 @@
   readonly timers: Timers;
   /** Opens the connections to a server that announced itself. */
   readonly connect: (announcement: Announcement) => ServerConnections;
+  /** How servers are spoken to. */
+  readonly server: ServerInterface;
+  /** Time without an announcement after which a server is taken for gone, milliseconds. */
+  readonly announceTtlMs?: number;
   readonly events: GateEvents;
 }
 
-/** Without an announcement for this long a server is taken for gone, milliseconds. */
-const ANNOUNCE_TTL_MS = 3_500;
+/** Several times the interval at which servers announce themselves, milliseconds. */
+const DEFAULT_ANNOUNCE_TTL_MS = 3_500;
 const TICK_MS = 100;
 const EVICT_EVERY_TICKS = 10;
 
@@ -41,6 +48,7 @@
 export class GateTask extends Task<GateMessage> {
   private readonly links = new Map<string, ServerLink>();
   private readonly ledger: AttemptLedger<KeptAnswer>;
+  private readonly order = new AnnouncementOrder();
   private readonly timer: Cancel;
   private rules: ReadonlyMap<string, ServiceRules> = new Map();
   private drainedServices = new Set<string>();
@@ -77,6 +85,14 @@
     return this.links.get(service)?.report();
   }
 
+  /** Loads of all servers of this VM. */
+  get loads(): ServerLoadReport[] {
+    return [...this.links.values()].map(link => ({
+      service: link.service,
+      report: link.report(),
+    }));
+  }
+
   get servers(): ServerRecord[] {
     return [...this.links.values()].map(link => link.record);
   }
@@ -198,6 +214,16 @@
   }
 
   private announce(announcement: Announcement): void {
+    const {mark} = announcement;
+    if (mark !== undefined && !this.order.accept(mark)) {
+      const {instance, state} = announcement;
+      this.options.events.onDecision({
+        what: 'lateAnnouncement',
+        instance,
+        state,
+      });
+      return;
+    }
     const known = this.links.get(announcement.service);
     const replaced =
       known !== undefined && known.instance !== announcement.instance;
@@ -220,6 +246,7 @@
       rules,
       timers: this.options.timers,
       connections: this.options.connect(announcement),
+      server: this.options.server,
       events: {
         onStart: req => {
           if (req.once) this.ledger.start(req.id);
@@ -280,9 +307,10 @@
 
   private tick(): void {
     const now: Millis = this.options.timers.now();
+    const ttlMs = this.options.announceTtlMs ?? DEFAULT_ANNOUNCE_TTL_MS;
     for (const link of this.links.values()) {
       link.tick();
-      if (now - link.heardAt > ANNOUNCE_TTL_MS) this.dismiss(link);
+      if (now - link.heardAt > ttlMs) this.dismiss(link);
     }
     this.ticks++;
     if (this.ticks % EVICT_EVERY_TICKS === 0) this.ledger.evict(now);
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -1,6 +1,7 @@
 /** Messages to and from the gate task. */
 import type {Resolution} from '@goldcresthill/attempts';
 import type {ErrorKind} from '@goldcresthill/errors';
+import type {AnnouncementMark} from '@goldcresthill/gate';
 import type {
   AttemptId,
   LoadReport,
@@ -50,6 +51,10 @@
   readonly headers: HeaderMap;
   readonly body: Buffer;
   readonly deadline: Millis;
+  /** Rank of the call; 0 goes first. */
+  readonly priority: number;
+  /** Instant up to which an answer is worth its full value. */
+  readonly objective: Millis;
   readonly suspect: boolean;
   readonly reply: (result: AttemptResult) => void;
 }
@@ -61,6 +66,8 @@
   readonly slots: number;
   readonly instance: string;
   readonly state: ServerState;
+  /** Orders announcements that may arrive late; undefined if they cannot. */
+  readonly mark?: AnnouncementMark;
 }
 
 /** Messages that the gate task takes. */
--- a/packages/node/src/gate/server_connections.ts
+++ b/packages/node/src/gate/server_connections.ts
@@ -1,6 +1,6 @@
 /** Connections to one server, behind a class so that trials can do without sockets. */
 import {connect} from 'node:net';
-import {Pool} from 'undici';
+import {Client, Pool} from 'undici';
 import {HttpExchange} from '../http/exchange';
 import type {ExchangeRequest, ExchangeResult} from '../http/exchange';
 
@@ -17,25 +17,35 @@
     done: (result: ExchangeResult) => void,
     onStreamEnd: () => void,
   ): ServerExchange;
+  /** Asks a path of the server on a connection apart; `done` is called once. */
+  abstract ask(path: string, done: (result: ExchangeResult) => void): void;
   /** Whether the server still accepts connections. */
   abstract check(): Promise<boolean>;
   abstract close(): Promise<void>;
 }
 
+const EMPTY = Buffer.alloc(0);
 const CONNECT_TIMEOUT_MS = 500;
 const IDLE_CONNECTION_MS = 2_000;
 const CHECK_TIMEOUT_MS = 300;
 
-/** Connections over loopback. */
+/** Where a server listens on its VM. */
+export interface ServerPlace {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Connections by HTTP/1.1. */
 export class HttpServerConnections extends ServerConnections {
   private readonly pool: Pool;
+  private asking: Client | undefined;
 
   constructor(
-    private readonly port: number,
+    private readonly place: ServerPlace,
     slots: number,
   ) {
     super();
-    this.pool = new Pool(`http://127.0.0.1:${port}`, {
+    this.pool = new Pool(`http://${place.host}:${place.port}`, {
       connections: slots,
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -53,9 +63,29 @@
     return exchange;
   }
 
+  override ask(path: string, done: (result: ExchangeResult) => void): void {
+    const {host, port} = this.place;
+    this.asking ??= new Client(`http://${host}:${port}`, {
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+    });
+    const exchange = new HttpExchange(
+      {method: 'GET', path, headers: {}, body: EMPTY, maxBufferedBytes: 1_024},
+      result => {
+        clearTimeout(timer);
+        done(result);
+      },
+    );
+    const timer = setTimeout(
+      () => exchange.abort('not answered'),
+      CHECK_TIMEOUT_MS,
+    );
+    exchange.start(this.asking);
+  }
+
   override check(): Promise<boolean> {
     return new Promise(done => {
-      const socket = connect({port: this.port, host: '127.0.0.1'});
+      const socket = connect(this.place);
       const end = (accepts: boolean): void => {
         clearTimeout(timer);
         socket.destroy();
@@ -69,6 +99,6 @@
   }
 
   override async close(): Promise<void> {
-    await this.pool.destroy();
+    await Promise.all([this.pool.destroy(), this.asking?.destroy()]);
   }
 }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -1,8 +1,8 @@
 /** Link to one server on this VM: its gate, its connections and what runs there. */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {Gate} from '@goldcresthill/gate';
 import type {GateCommand, Outcome} from '@goldcresthill/gate';
-import {HEADERS} from '@goldcresthill/protocol';
 import type {Timers} from '@goldcresthill/timers';
 import type {
   LoadReport,
@@ -11,9 +11,12 @@
   ServiceRules,
 } from '@goldcresthill/types';
 import {fingerprintOf} from '../fingerprint';
+import {INVALID_ANSWER} from '../http/exchange';
 import type {ExchangeResult} from '../http/exchange';
+import {LoadChecker} from './load_checker';
 import type {Announcement, AttemptRequest, AttemptResult} from './messages';
 import type {ServerConnections, ServerExchange} from './server_connections';
+import type {AnswerVerdict, ServerInterface} from './server_interface';
 
 /** What happens at a link, told to the gate task. */
 export interface LinkEvents {
@@ -44,6 +47,12 @@
 const ABORT_KINDS: ReadonlyMap<string, ErrorKind> = new Map([
   [DEADLINE_PASSED, 'deadlinePassed'],
   [CANCELLED, 'connectionLost'],
+  [INVALID_ANSWER, 'brokenAnswer'],
+]);
+
+const REFUSALS: ReadonlyMap<AnswerVerdict, ErrorKind> = new Map([
+  ['notRun', 'shedByServer'],
+  ['otherInstance', 'serverUnreachable'],
 ]);
 
 /** What a link starts from. */
@@ -52,6 +61,7 @@
   readonly rules: ServiceRules;
   readonly timers: Timers;
   readonly connections: ServerConnections;
+  readonly server: ServerInterface;
   readonly events: LinkEvents;
 }
 
@@ -66,6 +76,7 @@
   private leaving = false;
   private broken: Array<{at: Millis; fingerprint: string}> = [];
   heardAt: Millis;
+  private readonly loadChecker: LoadChecker;
 
   constructor(private readonly options: ServerLinkOptions) {
     const {announcement, rules, timers} = options;
@@ -73,6 +84,14 @@
     const now = timers.now();
     this.heardAt = now;
     this.gate = new Gate(now, {slots: announcement.slots, rules});
+    const {connections, server} = options;
+    this.loadChecker = new LoadChecker({
+      timers,
+      connections,
+      server,
+      onLoad: load => this.gate.learnSlowdown(load.slowdown),
+    });
+    this.loadChecker.configure(rules);
   }
 
   get service(): string {
@@ -103,8 +122,14 @@
     const ref = this.refs++;
     const entry = {req, arrivedAt: now, exchange: undefined, started: false};
     this.requests.set(ref, entry);
-    const {deadline, suspect} = req;
-    const admission = this.gate.admit(now, {ref, deadline, suspect});
+    const {deadline, suspect, priority, objective} = req;
+    const admission = this.gate.admit(now, {
+      ref,
+      deadline,
+      suspect,
+      priority,
+      objective,
+    });
     if (admission.type === 'start') this.start(ref, entry);
     if (admission.type === 'refuse') this.refuse(ref, admission.kind);
     return () => this.cancel(ref);
@@ -113,6 +138,7 @@
   configure(rules: ServiceRules): void {
     this.rules = rules;
     this.gate.configure(rules);
+    this.loadChecker.configure(rules);
   }
 
   drain(): void {
@@ -142,6 +168,7 @@
   /** The server no longer announces itself: nothing more goes there, what runs goes on. */
   stop(): void {
     this.died = true;
+    this.loadChecker.close();
     this.execute(this.gate.markDown());
   }
 
@@ -150,6 +177,7 @@
   }
 
   async close(): Promise<void> {
+    this.loadChecker.close();
     await this.options.connections.close();
   }
 
@@ -179,7 +207,8 @@
       1,
       Math.round(req.deadline - this.options.timers.now()),
     );
-    const headers = {...req.headers, [HEADERS.deadlineMs]: String(left)};
+    const {server, announcement} = this.options;
+    const headers = server.headersFor(req, announcement.instance, left);
     const {maxBufferedBytes} = this.rules;
     const cancelTimer = this.options.timers.after(
       left + DEADLINE_SLACK_MS,
@@ -192,6 +221,8 @@
         headers,
         body: req.body,
         maxBufferedBytes,
+        accepts: (status, head) =>
+          server.judge(req, status, head, this.rules) !== 'invalid',
       },
       result => {
         cancelTimer();
@@ -227,16 +258,27 @@
     result: ExchangeResult & {type: 'answer'},
   ): void {
     const {status, headers, body} = result;
-    const shed = this.rules.shedStatuses.includes(status);
+    this.learnLoad(headers);
+    const {req} = entry;
+    const verdict = this.options.server.judge(req, status, headers, this.rules);
+    const shed = verdict === 'notRun';
     // A streamed answer holds its slot until its end.
     if (body.type === 'whole') this.release(ref, shed ? 'shed' : 'ok');
-    if (shed && body.type === 'whole') {
-      this.tell(entry, {type: 'refused', kind: 'shedByServer'});
+    const kind = REFUSALS.get(verdict);
+    if (kind !== undefined && body.type === 'whole') {
+      this.tell(entry, {type: 'refused', kind});
       return;
     }
     this.tell(entry, {type: 'answered', status, headers, body});
   }
 
+  private learnLoad(headers: IncomingHttpHeaders): void {
+    const load = this.options.server.loadOf(headers);
+    if (load === undefined) return;
+    this.loadChecker.noteLearnt();
+    this.gate.learnSlowdown(load.slowdown);
+  }
+
   // The answer waits for the check, as the gateway treats a death differently.
   private async lost(ref: number, entry: Running): Promise<void> {
     this.rememberBroken();
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -3,7 +3,7 @@
 import type {ClaimRecord, OwnerAnswer} from '@goldcresthill/attempts';
 import {answerTo} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
-import type {ObjectStore} from '@goldcresthill/platform';
+import type {ObjectStore} from '@goldcresthill/object-store';
 import {Quarantine} from '@goldcresthill/quarantine';
 import type {Standing} from '@goldcresthill/quarantine';
 import type {ServiceRouter} from '@goldcresthill/routing';
--- a/packages/node/src/gateway/call_reader.ts
+++ b/packages/node/src/gateway/call_reader.ts
@@ -13,6 +13,10 @@
   readonly retriesLeft: number;
   readonly depth: number;
   readonly repeatable: boolean;
+  /** Rank of the call; 0 goes first. */
+  readonly priority: number;
+  /** Time within which an answer is worth its full value, milliseconds. */
+  readonly objectiveMs: number;
 }
 
 const SERVICE_NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
@@ -41,20 +45,24 @@
 export function readHead(
   req: IncomingMessage,
   service: string,
-  rules: ServiceRules,
+  rules: ServiceRules | undefined,
 ): CallHead {
+  if (rules === undefined) throw new BalancerError('unknownService', service);
   const depth = count(req, HEADERS.depth) ?? 0;
   if (depth >= MAX_DEPTH)
     throw new BalancerError('tooDeep', `${depth} gateways deep`);
   const retries = count(req, HEADERS.retriesLeft) ?? rules.maxRetries;
+  const deadlineMs = deadline(req, rules);
   return {
     service,
     callId: matching(req, HEADERS.callId, CALL_ID),
     key: matching(req, HEADERS.idempotencyKey, KEY),
-    deadlineMs: deadline(req, rules),
+    deadlineMs,
     retriesLeft: Math.min(retries, rules.maxRetries),
     depth: depth + 1,
     repeatable: isRepeatable(req, rules),
+    priority: 0,
+    objectiveMs: deadlineMs,
   };
 }
 
--- a/packages/node/src/gateway/claim_runner.ts
+++ b/packages/node/src/gateway/claim_runner.ts
@@ -6,7 +6,7 @@
   ClaimRecord,
 } from '@goldcresthill/attempts';
 import type {ErrorKind} from '@goldcresthill/errors';
-import type {ObjectStore, StoredObject} from '@goldcresthill/platform';
+import type {ObjectStore, StoredObject} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {z} from 'zod';
 import type {KeptAnswer} from '../gate/messages';
--- a/packages/node/src/gateway/claim_sweeper.ts
+++ b/packages/node/src/gateway/claim_sweeper.ts
@@ -5,7 +5,7 @@
   shardDue,
   shardPrefix,
 } from '@goldcresthill/attempts';
-import type {ObjectStore} from '@goldcresthill/platform';
+import type {ObjectStore} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {z} from 'zod';
 
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -4,7 +4,12 @@
 import {isErrorKind} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {decodeReport, HEADERS} from '@goldcresthill/protocol';
-import type {AttemptId, CallInfo, LoadReport} from '@goldcresthill/types';
+import type {
+  AttemptId,
+  CallInfo,
+  LoadReport,
+  NodeAddress,
+} from '@goldcresthill/types';
 import type {Dispatcher, Pool} from 'undici';
 import {OPERATIONS} from '../gate/data_listener';
 import type {AttemptResult, KeptAnswer} from '../gate/messages';
@@ -31,6 +36,8 @@
   readonly retriesLeft: number;
   /** Milliseconds until the deadline. */
   readonly leftMs: number;
+  /** Milliseconds until the latency objective has passed; negative afterwards. */
+  readonly objectiveMs: number;
 }
 
 /** What the holder of a claim says, with the answer it kept. */
@@ -72,6 +79,8 @@
     [HEADERS.deadlineMs]: String(Math.max(1, Math.round(attempt.leftMs))),
     [HEADERS.retriesLeft]: String(attempt.retriesLeft),
     [HEADERS.depth]: String(info.depth),
+    [HEADERS.priority]: String(info.priority),
+    [HEADERS.objectiveMs]: String(Math.round(attempt.objectiveMs)),
   };
   if (!info.repeatable) headers[HEADERS.once] = '1';
   if (attempt.suspect) headers[HEADERS.suspect] = '1';
@@ -120,6 +129,18 @@
   };
 }
 
+/** Reads the configuration that another node has in force; undefined if it cannot be had. */
+export async function fetchConfig(
+  holder: NodeAddress,
+): Promise<string | undefined> {
+  const {host, dataPort} = holder;
+  const result = await askOnce(host, dataPort, OPERATIONS.config, {});
+  if (result.type === 'broke' || result.status !== 200) return undefined;
+  return result.body.type === 'whole'
+    ? result.body.bytes.toString()
+    : undefined;
+}
+
 /** Asks a gate for the load of its server. */
 export function probe(
   pool: Pool,
--- a/packages/node/src/gateway/gate_sender.ts
+++ b/packages/node/src/gateway/gate_sender.ts
@@ -67,6 +67,8 @@
         headers: localHeaders(call, retriesLeft),
         body: call.body,
         deadline: call.info.deadline,
+        priority: call.info.priority,
+        objective: call.info.objective,
         suspect,
         reply: done,
       },
@@ -100,7 +102,14 @@
     if (link === undefined) return undefined;
     const {host, dataPort, bootId} = link.address;
     const leftMs = call.info.deadline - this.options.timers.now();
-    const attempt = {id, gateIncarnation: bootId, suspect, retriesLeft, leftMs};
+    const attempt = {
+      id,
+      gateIncarnation: bootId,
+      suspect,
+      retriesLeft,
+      leftMs,
+      objectiveMs: call.info.objective - this.options.timers.now(),
+    };
     const cancel = sendAttempt(link.pool, call, attempt, done);
     return {
       cancel,
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -5,7 +5,8 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
-import type {ObjectStore} from '@goldcresthill/platform';
+import type {ObjectStore} from '@goldcresthill/object-store';
+import type {ServerLoadReport} from '@goldcresthill/peers';
 import type {Quarantine} from '@goldcresthill/quarantine';
 import {ServiceRouter} from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
@@ -16,14 +17,12 @@
 import type {KeptAnswer} from '../gate/messages';
 import type {BodyBudget} from '../http/body';
 import {hasBody, readBody} from '../http/body';
-import {endToEndHeaders} from '../http/header_filter';
 import {Listener} from '../http/listener';
 import {Task} from '../task';
-import {writeAnswer, writeError, writeWhole} from './answer_writer';
 import type {AnswerContext} from './answer_writer';
-import {readHead, serviceOf} from './call_reader';
 import type {CallHead} from './call_reader';
 import {CallHandler} from './call_handler';
+import type {CallerInterface} from './caller_interface';
 import type {HandledOutcome} from './call_handler';
 import type {DecisionLog} from './decision_log';
 import {askOwner} from './gate_client';
@@ -36,6 +35,7 @@
 /** What the task starts from. */
 export interface GatewayTaskOptions {
   readonly address: NodeAddress;
+  readonly callers: CallerInterface;
   readonly callerPort: number;
   readonly maxConnections: number;
   readonly headerBytes: number;
@@ -161,6 +161,9 @@
       case 'configure':
         this.configure(message.rules);
         return;
+      case 'loads':
+        this.learnLoads(message.nodeId, message.loads);
+        return;
       case 'news':
         this.takeNews(message.news);
         return;
@@ -179,6 +182,13 @@
     else this.quarantine.clear(news);
   }
 
+  private learnLoads(nodeId: string, loads: readonly ServerLoadReport[]): void {
+    const now = this.timers.now();
+    for (const {service, report} of loads) {
+      this.routers.get(service)?.learn(now, serverId(nodeId, service), report);
+    }
+  }
+
   private configure(rules: ReadonlyMap<string, ServiceRules>): void {
     this.rules = rules;
     const now = this.timers.now();
@@ -221,13 +231,11 @@
     this.open++;
     res.on('close', () => this.open--);
     try {
-      const service = serviceOf(req);
-      const rules = this.rules.get(service);
-      const router = this.routers.get(service);
-      if (rules === undefined || router === undefined) {
-        throw new BalancerError('unknownService', service);
+      const head = this.options.callers.readHead(req, this.rules);
+      const router = this.routers.get(head.service);
+      if (router === undefined) {
+        throw new BalancerError('unknownService', head.service);
       }
-      const head = readHead(req, service, rules);
       this.readCall(req, res, {...head, callId}, router, startedAt);
     } catch (err) {
       this.refuseRequest(req, res, answer, err);
@@ -246,7 +254,7 @@
     this.options.metrics.count('refused_requests_total', {kind: known.kind});
     // The rest of a body that is not wanted would be taken for the next request.
     const unread = !req.complete && hasBody(req);
-    writeError(
+    this.options.callers.writeError(
       res,
       {...answer, closing: answer.closing || unread},
       known.kind,
@@ -302,8 +310,10 @@
       deadline: startedAt + head.deadlineMs,
       retriesLeft: head.retriesLeft,
       depth: head.depth,
+      priority: head.priority,
+      objective: startedAt + head.objectiveMs,
     };
-    const headers = endToEndHeaders(req.headers);
+    const headers = this.options.callers.forwardedHeaders(req);
     const {maxBufferedBytes} = router.currentRules;
     const call = {info, method, path, headers, body, maxBufferedBytes};
     this.learnLocal(service, router);
@@ -340,7 +350,13 @@
       this.options.onFault(err);
       const {res} = context;
       if (res.headersSent) res.destroy();
-      else writeError(res, this.answerContext(context), 'brokenAnswer');
+      else {
+        this.options.callers.writeError(
+          res,
+          this.answerContext(context),
+          'brokenAnswer',
+        );
+      }
     }
   }
 
@@ -354,7 +370,11 @@
         return;
       case 'kept':
         this.options.metrics.count('calls_total', {service, outcome: 'kept'});
-        writeWhole(context.res, this.answerContext(context), outcome.answer);
+        this.options.callers.writeKept(
+          context.res,
+          this.answerContext(context),
+          outcome.answer,
+        );
         return;
       case 'answered': {
         const hopUs = us - outcome.result.gateUs;
@@ -364,7 +384,7 @@
           outcome: 'answered',
         });
         const answer = this.answerContext(context, outcome.server);
-        writeAnswer(context.res, answer, outcome.result);
+        this.options.callers.writeAnswer(context.res, answer, outcome.result);
         return;
       }
     }
@@ -380,7 +400,11 @@
   private fail(context: CallContext, kind: ErrorKind): void {
     const {service} = context.call.info;
     this.options.metrics.count('calls_total', {service, outcome: kind});
-    writeError(context.res, this.answerContext(context), kind);
+    this.options.callers.writeError(
+      context.res,
+      this.answerContext(context),
+      kind,
+    );
   }
 
   private answerContext(context: CallContext, server?: string): AnswerContext {
@@ -389,13 +413,9 @@
 
   private newCallId(req: IncomingMessage): string {
     const seq = this.callSeq++;
-    const parent = req.headers['gh-call-id'];
-    const known =
-      typeof parent === 'string' && /^[A-Za-z0-9._:-]{1,100}$/.test(parent);
     const {nodeId, bootId} = this.options.address;
-    return known
-      ? `${parent}.${seq}`
-      : `${nodeId}-${bootId.toString(36)}-${seq}`;
+    const own = `${nodeId}-${bootId.toString(36)}-${seq}`;
+    return this.options.callers.callIdOf(req, own, seq);
   }
 }
 
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -13,6 +13,8 @@
   readonly body: Buffer;
   /** Bytes up to which the answer is held whole. */
   readonly maxBufferedBytes: number;
+  /** Whether an answer with this head belongs to the request; otherwise its connection is closed. */
+  readonly accepts?: (status: number, headers: IncomingHttpHeaders) => boolean;
 }
 
 /** Body of an answer: whole in memory, or a start and the rest as it comes. */
@@ -35,6 +37,8 @@
       readonly err: Error;
     };
 
+/** Message of the error with which an answer that was not accepted ends. */
+export const INVALID_ANSWER = 'answer not accepted';
 const EMPTY = Buffer.alloc(0);
 
 /** Runs one exchange; `done` is called once. */
@@ -90,13 +94,16 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
     this.status = status;
     this.headers = headers;
+    if (this.req.accepts?.(status, headers) === false) {
+      controller.abort(new Error(INVALID_ANSWER));
+    }
   }
 
   onResponseData(
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -30,9 +30,25 @@
 } from './gate/messages';
 export {ServerConnections} from './gate/server_connections';
 export type {ServerExchange} from './gate/server_connections';
+export {OwnServerInterface, ServerInterface} from './gate/server_interface';
+export type {AnswerVerdict, ServerLoad} from './gate/server_interface';
 export type {ExchangeRequest, ExchangeResult} from './http/exchange';
 export {ControlPlane} from './control_plane';
 export type {ControlEvents, ControlPlaneOptions} from './control_plane';
 export {PeerLinks} from './member/peer_links';
 export type {ConfigDelta} from './member/peer_links';
+
+/** A node whose callers, servers and store speak words of their own. */
+export {SidecarNode} from './sidecar/sidecar_node';
+export type {SidecarNodeOptions} from './sidecar/sidecar_node';
+export type {SidecarConfig} from './sidecar/sidecar_config';
+export {CallerInterface} from './gateway/caller_interface';
+export type {RulesByService} from './gateway/caller_interface';
+export type {CallHead} from './gateway/call_reader';
+export type {AnswerContext} from './gateway/answer_writer';
+export {HttpServerConnections} from './gate/server_connections';
+export {Listener, readText} from './http/listener';
+export {endToEndHeaders} from './http/header_filter';
+export type {HeaderMap} from './http/header_filter';
+export {endWhole, pipeStream} from './http/answer_body';
 export {fingerprintOf} from './fingerprint';
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -1,6 +1,6 @@
 /** The presence object of this node, and the list of those of others. */
 import type {MemberRecord} from '@goldcresthill/membership';
-import type {ObjectStore, StoreBreaker} from '@goldcresthill/platform';
+import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {NodeAddress} from '@goldcresthill/types';
 import {z} from 'zod';
--- /dev/null
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -0,0 +1,359 @@
+/** A node that finds its peers and its configuration in the store and shares load by datagrams. */
+import type {Logger} from '@goldcresthill/logger';
+import type {MemberNews} from '@goldcresthill/membership';
+import type {Metrics} from '@goldcresthill/metrics';
+import {BudgetedStore, StoreBreaker} from '@goldcresthill/object-store';
+import type {ObjectStore} from '@goldcresthill/object-store';
+import {TokenBucket} from '@goldcresthill/budgets';
+import type {NodeSettings} from '@goldcresthill/settings';
+import type {Timers} from '@goldcresthill/timers';
+import {InvariantError} from '@goldcresthill/types';
+import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
+import type {Result} from 'neverthrow';
+import {ConfigFollower} from '../config/config_follower';
+import {DataListener} from '../gate/data_listener';
+import {GateTask} from '../gate/gate_task';
+import type {Announcement} from '../gate/messages';
+import type {ServerConnections} from '../gate/server_connections';
+import type {ServerInterface} from '../gate/server_interface';
+import type {CallerInterface} from '../gateway/caller_interface';
+import {DecisionLog} from '../gateway/decision_log';
+import {fetchConfig} from '../gateway/gate_client';
+import {GatewayTask} from '../gateway/gateway_task';
+import {BodyBudget} from '../http/body';
+import {Presence} from '../member/presence';
+import {PeerTask} from '../peers/peer_task';
+import type {SidecarConfig} from './sidecar_config';
+
+/** What a node starts from. */
+export interface SidecarNodeOptions {
+  readonly settings: NodeSettings;
+  readonly timers: Timers;
+  readonly store: ObjectStore;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly callers: CallerInterface;
+  readonly server: ServerInterface;
+  readonly connect: (announcement: Announcement) => ServerConnections;
+  /** Object of the store that holds the configuration. */
+  readonly configPath: string;
+  readonly decodeConfig: (text: string) => Result<SidecarConfig, string>;
+  readonly onConfig: (config: SidecarConfig) => void;
+  readonly announceTtlMs: number;
+  readonly random?: () => number;
+}
+
+/** Time for which callers may still send to a leaving node before they have noticed, milliseconds. */
+const LAME_DUCK_MS = 2_500;
+/** Time kept for closing connections before the grace period ends, milliseconds. */
+const CLOSING_MS = 500;
+const POLL_MS = 20;
+const MILLIS_PER_SECOND = 1_000;
+const BOOT_FRACTION = 1_000;
+/** Time for which the own watch may still bring a configuration that another node has, milliseconds. */
+const CONFIG_PATIENCE_MS = 300;
+
+/** Longest wait before the store is tried again, milliseconds; lapsed entries are due back within two seconds. */
+const MAX_STORE_WAIT_MS = 1_000;
+
+/** One process on one VM. */
+export class SidecarNode {
+  private readonly address: NodeAddress;
+  private readonly gate: GateTask;
+  private readonly gateway: GatewayTask;
+  private readonly data: DataListener;
+  private readonly peers: PeerTask;
+  private readonly presence: Presence;
+  private readonly config: ConfigFollower<SidecarConfig>;
+  private readonly store: BudgetedStore;
+  private readonly budget: BodyBudget;
+  private leaving = false;
+  private fetching = false;
+
+  constructor(private readonly options: SidecarNodeOptions) {
+    this.address = this.makeAddress();
+    this.store = this.makeStore();
+    this.budget = new BodyBudget(options.settings.callers.buffered_bytes);
+    this.gate = this.makeGate();
+    this.gateway = this.makeGateway();
+    this.data = this.makeData();
+    this.peers = this.makePeers();
+    this.presence = this.makePresence();
+    this.config = this.makeConfig();
+  }
+
+  /** Listens, tells the fleet and follows the configuration. */
+  async start(): Promise<void> {
+    await Promise.all([
+      this.gateway.listen(),
+      this.data.listen(),
+      this.peers.listen(),
+    ]);
+    this.tellMembers();
+    void this.config.start();
+    void this.presence.start();
+    const {nodeId, bootId, domain} = this.address;
+    this.options.logger.info('started', {nodeId, bootId, domain});
+  }
+
+  /** Takes what the server of this VM says of itself. */
+  announce(announcement: Announcement): void {
+    this.gate.post({type: 'announce', announcement});
+  }
+
+  /** Whether callers may send to this node. */
+  get isReady(): boolean {
+    return !this.leaving && this.config.current !== undefined;
+  }
+
+  /**
+   * Leaves: takes no more work for its server, lets what runs finish, and
+   * serves callers until they have noticed. Answers how many requests were left.
+   */
+  async shutDown(): Promise<number> {
+    if (this.leaving) return 0;
+    this.leaving = true;
+    const {timers, logger, settings} = this.options;
+    logger.info('leaving', {inFlight: this.gate.requestsInFlight});
+    const startedAt = timers.now();
+    const graceMs = settings.node.grace_seconds * MILLIS_PER_SECOND;
+    this.gateway.beginClosing();
+    this.gate.post({type: 'drain'});
+    this.peers.leave();
+    const endAt = startedAt + graceMs - CLOSING_MS;
+    const calmAt = Math.min(startedAt + LAME_DUCK_MS, endAt);
+    while (timers.now() < calmAt || (!this.isIdle && timers.now() < endAt)) {
+      await timers.pause(POLL_MS);
+    }
+    this.gateway.stopAccepting();
+    const left = this.gate.requestsInFlight + this.gateway.callsOpen;
+    await timers.pause(CLOSING_MS / 2);
+    await this.close();
+    logger.info('left', {unfinished: left});
+    return left;
+  }
+
+  async close(): Promise<void> {
+    this.config.close();
+    this.presence.close();
+    this.peers.close();
+    await Promise.all([
+      this.gateway.close(),
+      this.data.close(),
+      this.gate.close(),
+      this.store.close(),
+    ]);
+  }
+
+  private get isIdle(): boolean {
+    return this.gate.isIdle && this.gateway.callsOpen === 0;
+  }
+
+  private makeAddress(): NodeAddress {
+    const {settings, timers, random = Math.random} = this.options;
+    const {node} = settings;
+    return {
+      nodeId: node.id,
+      bootId:
+        Math.floor(timers.wall()) * BOOT_FRACTION +
+        Math.floor(random() * BOOT_FRACTION),
+      host: node.host,
+      dataPort: node.data_port,
+      controlPort: node.control_port,
+      domain: node.domain,
+      region: node.region,
+    };
+  }
+
+  private makeStore(): BudgetedStore {
+    const {settings, timers, store} = this.options;
+    const bucket = new TokenBucket(timers.now(), {
+      perSecond: settings.platform.calls_per_second,
+    });
+    return new BudgetedStore(store, bucket, () => timers.now());
+  }
+
+  private makeGate(): GateTask {
+    const {timers, connect, server, logger, announceTtlMs} = this.options;
+    return new GateTask({
+      timers,
+      connect,
+      server,
+      announceTtlMs,
+      nodeId: this.address.nodeId,
+      incarnation: this.address.bootId,
+      events: {
+        onServers: servers => this.onServers(servers),
+        onServerDied: (instance, fingerprints) =>
+          this.onServerDied(instance, fingerprints),
+        onCompleted: fingerprint => this.onCompleted(fingerprint),
+        onFault: err => this.onFault(err),
+        onDecision: fields => logger.decision(fields),
+      },
+    });
+  }
+
+  private makeGateway(): GatewayTask {
+    const {settings, timers, callers, metrics, random} = this.options;
+    return new GatewayTask({
+      timers,
+      address: this.address,
+      callers,
+      callerPort: settings.node.caller_port,
+      maxConnections: settings.callers.max_connections,
+      headerBytes: settings.callers.header_bytes,
+      slowSenderMs: settings.callers.slow_sender_ms,
+      gate: this.gate,
+      store: this.store,
+      budget: this.budget,
+      decisions: new DecisionLog(this.options.logger),
+      metrics,
+      random: random ?? Math.random,
+      onFault: err => this.onFault(err),
+    });
+  }
+
+  private makeData(): DataListener {
+    return new DataListener({
+      timers: this.options.timers,
+      host: this.address.host,
+      port: this.address.dataPort,
+      incarnation: this.address.bootId,
+      gate: this.gate,
+      budget: this.budget,
+      askKey: token => this.gateway.askKey(token),
+      configText: () => this.config.text,
+    });
+  }
+
+  private makePeers(): PeerTask {
+    return new PeerTask({
+      address: this.address,
+      timers: this.options.timers,
+      servers: () => this.gate.servers,
+      loads: () => this.gate.loads,
+      configVersion: () => this.config.version,
+      events: {
+        onMembers: () => this.tellMembers(),
+        onLoads: (nodeId, loads) =>
+          this.gateway.post({type: 'loads', nodeId, loads}),
+        onNews: news => this.onNews(news),
+        onNewerConfig: holder => void this.fetchNewer(holder),
+        onFault: err => this.onFault(err),
+      },
+    });
+  }
+
+  private makePresence(): Presence {
+    return new Presence({
+      timers: this.options.timers,
+      store: this.store,
+      breaker: this.newBreaker(),
+      address: this.address,
+      incarnation: this.address.bootId,
+      onPeers: records => this.peers.learnListed(records.map(r => r.address)),
+    });
+  }
+
+  private makeConfig(): ConfigFollower<SidecarConfig> {
+    const {timers, logger, configPath, decodeConfig} = this.options;
+    return new ConfigFollower<SidecarConfig>({
+      timers,
+      store: this.store,
+      breaker: this.newBreaker(),
+      path: configPath,
+      decode: decodeConfig,
+      versionOf: config => config.version,
+      nodes: () => this.peers.peerCount + 1,
+      onConfig: (config, source) => this.onConfig(config, source),
+      onStore: reachable =>
+        logger.warn(reachable ? 'storeRegained' : 'storeLost', {
+          configVersion: this.config.version,
+        }),
+      onInvalid: reason =>
+        logger.warn('configInvalid', {
+          reason,
+          versionInForce: this.config.version,
+        }),
+    });
+  }
+
+  private newBreaker(): StoreBreaker {
+    return new StoreBreaker({
+      random: this.options.random ?? Math.random,
+      maxWaitMs: MAX_STORE_WAIT_MS,
+    });
+  }
+
+  private onConfig(config: SidecarConfig, source: string): void {
+    const {version, routes, rules} = config;
+    this.options.logger.info('configuration', {
+      version,
+      source,
+      routes: routes.length,
+    });
+    this.options.onConfig(config);
+    this.gateway.post({type: 'configure', rules});
+    this.gate.post({type: 'configure', rules});
+  }
+
+  private async fetchNewer(holder: NodeAddress): Promise<void> {
+    if (this.fetching) return;
+    this.fetching = true;
+    const before = this.config.version;
+    await this.options.timers.pause(CONFIG_PATIENCE_MS);
+    if (this.config.version === before) {
+      const text = await fetchConfig(holder);
+      if (text !== undefined) this.config.offer(text, holder.nodeId);
+    }
+    this.fetching = false;
+  }
+
+  private onServers(servers: readonly ServerRecord[]): void {
+    const summary = servers.map(s => `${s.service}:${s.instance}:${s.state}`);
+    this.options.logger.info('servers', {servers: summary});
+    this.tellMembers();
+    this.peers.tellAll();
+  }
+
+  private tellMembers(): void {
+    const records = this.peers.records();
+    this.gateway.post({type: 'members', records, cutDomains: []});
+  }
+
+  private onServerDied(
+    instance: string,
+    fingerprints: readonly string[],
+  ): void {
+    const inFlight = fingerprints.length;
+    this.options.logger.warn('serverDied', {instance, inFlight});
+    const at = this.options.timers.wall();
+    for (const fingerprint of new Set(fingerprints)) {
+      this.spread({type: 'strike', fingerprint, instance, at});
+    }
+  }
+
+  private onCompleted(fingerprint: () => string): void {
+    const {quarantine} = this.gateway;
+    if (quarantine.isEmpty) return;
+    const digest = fingerprint();
+    if (!quarantine.isKnown(digest)) return;
+    const at = this.options.timers.wall();
+    this.spread({type: 'clearance', fingerprint: digest, at});
+  }
+
+  private spread(news: MemberNews): void {
+    this.onNews(news);
+    this.peers.spread(news);
+  }
+
+  private onNews(news: MemberNews): void {
+    this.gateway.post({type: 'news', news});
+  }
+
+  private onFault(err: unknown): void {
+    const broken = err instanceof InvariantError;
+    const detail = err instanceof Error ? err.message : String(err);
+    this.options.logger.error(broken ? 'invariantBroken' : 'fault', {detail});
+  }
+}
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -3,7 +3,7 @@
 import {ownerOf} from '@goldcresthill/membership';
 import type {MemberNews} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
-import type {ObjectStore, StoreBreaker} from '@goldcresthill/platform';
+import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {NodeSettings} from '@goldcresthill/settings';
 import type {Configuration} from '@goldcresthill/tickets';
 import type {Timers} from '@goldcresthill/timers';
@@ -16,6 +16,8 @@
 import {DataListener} from './gate/data_listener';
 import {GateTask} from './gate/gate_task';
 import {HttpServerConnections} from './gate/server_connections';
+import {OwnServerInterface} from './gate/server_interface';
+import {OwnCallerInterface} from './gateway/caller_interface';
 import {ClaimSweeper} from './gateway/claim_sweeper';
 import type {DecisionLog} from './gateway/decision_log';
 import {GatewayTask} from './gateway/gateway_task';
@@ -50,6 +52,7 @@
   readonly onFault: (err: unknown) => void;
 }
 
+const LOOPBACK = '127.0.0.1';
 const MILLIS_PER_HOUR = 3_600_000;
 
 /** All tasks of a node. */
@@ -102,7 +105,9 @@
     const {address, logger, timers, onFault} = this.options;
     return new GateTask({
       timers,
-      connect: ({port, slots}) => new HttpServerConnections(port, slots),
+      connect: ({port, slots}) =>
+        new HttpServerConnections({host: LOOPBACK, port}, slots),
+      server: new OwnServerInterface(),
       nodeId: address.nodeId,
       incarnation: address.bootId,
       events: {
@@ -122,6 +127,7 @@
     return new GatewayTask({
       timers: this.options.timers,
       address,
+      callers: new OwnCallerInterface(),
       callerPort: settings.node.caller_port,
       maxConnections: settings.callers.max_connections,
       headerBytes: settings.callers.header_bytes,
--- a/packages/node/src/testing/small_fleet.ts
+++ b/packages/node/src/testing/small_fleet.ts
@@ -1,7 +1,7 @@
 /** A few nodes and stand-ins in one process, on real sockets, for tests. */
 import {PassThrough} from 'node:stream';
 import {Logger} from '@goldcresthill/logger';
-import {HttpObjectStore} from '@goldcresthill/platform';
+import {HttpObjectStore} from '@goldcresthill/object-store';
 import {parseSettings} from '@goldcresthill/settings';
 import {
   Announcer,
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -9,6 +9,9 @@
   deadlineMs: 'gh-deadline-ms',
   retriesLeft: 'gh-retries-left',
   depth: 'gh-depth',
+  priority: 'gh-priority',
+  /** Milliseconds left until the latency objective has passed. */
+  objectiveMs: 'gh-objective-ms',
   idempotencyKey: 'idempotency-key',
 
   /** Between gateway and gate. */
--- /dev/null
+++ b/packages/routes/src/index.ts
@@ -0,0 +1,4 @@
+/** Routes of hosts and path prefixes to services. */
+export {RouteTable} from './route_table';
+export {drawService} from './weighted_draw';
+export type {Route, WeightedService} from './route';
--- /dev/null
+++ b/packages/routes/src/routes_test.ts
@@ -0,0 +1,53 @@
+import {describe, expect, it} from 'vitest';
+import {drawService} from './weighted_draw';
+import {RouteTable} from './route_table';
+import type {Route} from './route';
+
+function route(host: string, pathPrefix: string): Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    services: [{service: 'orders', weight: 1}],
+    repeatable: true,
+    maxAttempts: 2,
+    timeoutMs: 1_000,
+    objectiveMs: 300,
+    priority: 0,
+  };
+}
+
+describe('RouteTable', () => {
+  const table = new RouteTable([
+    route('shop.example', '/'),
+    route('shop.example', '/a/'),
+    route('shop.example', '/a/b/'),
+    route('other.example', '/x/'),
+  ]);
+  it.each([
+    ['shop.example', '/a/b/c', '/a/b/'],
+    ['shop.example', '/a/b/', '/a/b/'],
+    ['shop.example', '/a/b', '/a/'],
+    ['shop.example', '/a', '/'],
+    ['SHOP.example:8080', '/a/?q=/a/b/', '/a/'],
+    ['other.example', '/y/', undefined],
+    ['absent.example', '/', undefined],
+  ])('%s%s goes to the longest prefix %s', (host, path, prefix) => {
+    expect(table.match(host, path)?.pathPrefix).toBe(prefix);
+  });
+});
+
+describe('drawService', () => {
+  it('gives each service the share of its weight', () => {
+    const services = [
+      {service: 'a', weight: 90},
+      {service: 'b', weight: 10},
+      {service: 'c', weight: 0},
+    ];
+    const drawn = Array.from({length: 1_000}, (_, i) =>
+      drawService(services, () => i / 1_000),
+    );
+    const count = (name: string) => drawn.filter(s => s === name).length;
+    expect([count('a'), count('b'), count('c')]).toEqual([900, 100, 0]);
+  });
+});
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,3 @@
 /** Settings of one node. */
-export {parseSettings, SETTINGS_EXAMPLE} from './settings';
+export {parseSettings, parseSettingsWith, SETTINGS_EXAMPLE} from './settings';
 export type {NodeSettings} from './settings';
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -83,13 +83,24 @@
 
 /** Checks a settings file as a whole. */
 export function parseSettings(source: string): Result<NodeSettings, Fault[]> {
+  return parseSettingsWith(source, {});
+}
+
+/** Checks a settings file that has more sections than those of any node. */
+export function parseSettingsWith(
+  source: string,
+  more: Readonly<Record<string, z.ZodObject>>,
+): Result<NodeSettings, Fault[]> {
+  const schemas: Record<string, z.ZodObject> = {...SECTIONS, ...more};
   return readSections(source).andThen(sections => {
     const faults: Fault[] = [];
     const out: Record<string, unknown> = {};
     for (const name of sections.keys()) {
-      if (!Object.hasOwn(SECTIONS, name)) faults.push(unknownSection(name));
+      if (!Object.hasOwn(schemas, name)) {
+        faults.push(unknownSection(name, Object.keys(schemas)));
+      }
     }
-    for (const [name, schema] of Object.entries<z.ZodObject>(SECTIONS)) {
+    for (const [name, schema] of Object.entries(schemas)) {
       const checked = checkSection(
         name,
         sections.get(name) ?? new Map(),
@@ -102,7 +113,7 @@
   });
 }
 
-function unknownSection(name: string): Fault {
-  const allowed = `no such section; there are ${Object.keys(SECTIONS).join(', ')}`;
+function unknownSection(name: string, known: readonly string[]): Fault {
+  const allowed = `no such section; there are ${known.join(', ')}`;
   return {section: name, key: '', value: '', allowed};
 }
--- a/packages/test-utils/src/memory_platform.ts
+++ b/packages/test-utils/src/memory_platform.ts
@@ -1,5 +1,5 @@
 /** The platform's objects in memory: versions, conditional writes, watches, counts. */
-import type {StoredObject} from '@goldcresthill/platform';
+import type {StoredObject} from '@goldcresthill/object-store';
 
 /** Outcome of a conditional write. */
 export type WriteOutcome =
--- a/packages/tickets/src/ticket.ts
+++ b/packages/tickets/src/ticket.ts
@@ -59,6 +59,11 @@
     .default(D.probeBytesPerSecond),
   queue_per_slot: fields.decimal(0, 100).default(D.queuePerSlot),
   max_slots: fields.integer(1, 10_000).default(D.maxSlots),
+  slot_percent: fields.decimal(1, 100).default(D.slotPercent),
+  load_path: fields.text(/^(\/\S{0,255})?$/, 'a path').default(D.loadPath),
+  load_checks_per_second: fields
+    .decimal(0, 1_000)
+    .default(D.loadChecksPerSecond),
   warm_up_ms: fields.integer(0, 600_000).default(D.warmUpMs),
   max_request_bytes: fields.integer(0, 67_108_864).default(D.maxRequestBytes),
   max_buffered_bytes: fields
--- a/packages/trials/src/call/call_world.ts
+++ b/packages/trials/src/call/call_world.ts
@@ -1,5 +1,10 @@
 /** Callers, gateways, gates and servers in virtual time. */
-import {CallHandler, fingerprintOf, GateTask} from '@goldcresthill/node';
+import {
+  CallHandler,
+  fingerprintOf,
+  GateTask,
+  OwnServerInterface,
+} from '@goldcresthill/node';
 import type {
   AttemptResult,
   HandledOutcome,
@@ -195,6 +200,8 @@
         deadline: node.timers.now() + DEADLINE_MS,
         retriesLeft: RULES.maxRetries,
         depth: 1,
+        priority: 0,
+        objective: node.timers.now() + DEADLINE_MS,
       },
       method: request.once ? 'POST' : 'GET',
       path: `/${request.id}`,
@@ -311,6 +318,7 @@
       timers,
       connect: () =>
         new WorldConnections(this.state, this.network, nodeId, server, timers),
+      server: new OwnServerInterface(),
       events: {
         onServers: () => {
           const update = (): void => this.updateRouters();
--- a/packages/trials/src/call/gateway_links.ts
+++ b/packages/trials/src/call/gateway_links.ts
@@ -134,6 +134,8 @@
       headers,
       body,
       deadline: info.deadline,
+      priority: info.priority,
+      objective: info.objective,
       suspect,
       reply,
     };
--- a/packages/trials/src/call/world_connections.ts
+++ b/packages/trials/src/call/world_connections.ts
@@ -52,6 +52,10 @@
     };
   }
 
+  override ask(_path: string, done: (result: ExchangeResult) => void): void {
+    done({type: 'broke', sent: false, err: new Error('not served')});
+  }
+
   override async check(): Promise<boolean> {
     return !this.server.dead;
   }
--- a/packages/trials/src/call/world_store.ts
+++ b/packages/trials/src/call/world_store.ts
@@ -1,6 +1,6 @@
 /** The platform's store in virtual time, with faults. */
-import {ObjectStore} from '@goldcresthill/platform';
-import type {StoredObject, StoreResult} from '@goldcresthill/platform';
+import {ObjectStore} from '@goldcresthill/object-store';
+import type {StoredObject, StoreResult} from '@goldcresthill/object-store';
 import type {MemoryPlatform, VirtualClock} from '@goldcresthill/test-utils';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import type {ErrorKind} from '@goldcresthill/errors';
--- a/packages/trials/src/member/fleet_world.ts
+++ b/packages/trials/src/member/fleet_world.ts
@@ -3,7 +3,7 @@
 import {messageBytes} from '@goldcresthill/membership';
 import {ControlPlane, PeerLinks} from '@goldcresthill/node';
 import type {ConfigDelta} from '@goldcresthill/node';
-import {StoreBreaker} from '@goldcresthill/platform';
+import {StoreBreaker} from '@goldcresthill/object-store';
 import {
   MemoryPlatform,
   seededRandom,
--- a/packages/types/src/call.ts
+++ b/packages/types/src/call.ts
@@ -33,4 +33,8 @@
   readonly retriesLeft: number;
   /** How many gateways the call tree passed through to get here. */
   readonly depth: number;
+  /** Rank of the call; 0 goes first. */
+  readonly priority: number;
+  /** Instant up to which an answer is worth its full value to the caller. */
+  readonly objective: Millis;
 }
--- a/packages/types/src/server.ts
+++ b/packages/types/src/server.ts
@@ -14,6 +14,8 @@
   readonly limit: number;
   /** Expected time at the server of one more request, without waiting. */
   readonly serviceUs: Micros;
+  /** How many times longer than usual work takes on the server's VM now; 1 is usual. */
+  readonly slowdown: number;
   readonly state: ServerState;
 }
 
--- a/packages/types/src/service.ts
+++ b/packages/types/src/service.ts
@@ -35,6 +35,12 @@
   readonly queuePerSlot: number;
   /** Upper bound on the slots that a server may claim. */
   readonly maxSlots: number;
+  /** Share of its slots up to which a server is filled, percent. */
+  readonly slotPercent: number;
+  /** Path that a gate asks for the load of its server; empty if the server has none. */
+  readonly loadPath: string;
+  /** Times per second that a gate asks its server for its load. */
+  readonly loadChecksPerSecond: number;
   /** Time over which a server that has just started is given its full share, milliseconds. */
   readonly warmUpMs: number;
   /** Largest request body taken, bytes. */
@@ -70,6 +76,9 @@
   probeBytesPerSecond: 2_000,
   queuePerSlot: 100,
   maxSlots: 256,
+  slotPercent: 100,
+  loadPath: '',
+  loadChecksPerSecond: 0,
   warmUpMs: 2_000,
   maxRequestBytes: 1_048_576,
   maxBufferedBytes: 1_048_576,
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -61,7 +61,7 @@
 
 const checks = [
   run('typecheck', 'npx', ['tsc', '--noEmit']),
-  run('lint', 'npx', ['eslint', 'packages', 'scripts']),
+  run('lint', 'npx', ['eslint', 'packages', 'platform', 'scripts']),
 ];
 const counts = runTests();
 const failed = counts.failed + checks.filter(ok => !ok).length;
