Routing counts a server's own speed; gates measure work at usual speed

Cause: neighbours slow a server's VM to a quarter in spells of some hundred milliseconds, and the gateways chose as if all were equally fast. Ruled out: the gate's average of finished requests as the signal; it lags the spells and mixes kinds of work. Change: LoadReport carries the server's slowdown, the gate normalises its service time by a clock of work, the expected time is scaled by the slowdown.

--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -8,6 +8,7 @@
   ServiceRules,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
+import {WorkClock} from './work_clock';
 import {ServiceTime} from './service_time';
 
 /** What the gate needs to know of a server. */
@@ -60,7 +61,8 @@
 }
 
 interface Running {
-  readonly startedAt: Millis;
+  /** By the work clock, milliseconds. */
+  readonly startedWork: Millis;
   readonly suspect: boolean;
 }
 
@@ -79,13 +81,14 @@
   private suspects = 0;
   private status: ServerState = 'up';
   private drainedTold = false;
-  private slowdown = 1;
+  private readonly work: WorkClock;
 
   constructor(
     now: Millis,
     private readonly options: GateOptions,
   ) {
     this.rules = options.rules;
+    this.work = new WorkClock(now);
     this.slots = Math.max(1, Math.min(options.slots, options.rules.maxSlots));
     const {slotPercent} = options.rules;
     this.limit = new AdaptiveLimit({
@@ -121,7 +124,7 @@
     invariant(run !== undefined, 'gate.finish', () => `${ref} is not running`);
     this.running.delete(ref);
     if (run.suspect) this.suspects--;
-    this.service.finish(now, run.startedAt, outcome === 'ok');
+    this.service.finish(this.work.at(now), run.startedWork, outcome === 'ok');
     this.limit.observe(now, outcome === 'shed', this.running.size + 1);
     return this.withDrained(this.startWaiting(now));
   }
@@ -172,8 +175,8 @@
   }
 
   /** The server says how many times longer than usual work takes now. */
-  learnSlowdown(slowdown: number): void {
-    this.slowdown = slowdown;
+  learnSlowdown(now: Millis, slowdown: number): void {
+    this.work.setSlowdown(now, slowdown);
   }
 
   /** Load as this gate counts it. */
@@ -182,8 +185,8 @@
       inFlight: this.running.size,
       queued: this.queue.size,
       limit: this.limit.current(now),
-      serviceUs: Math.round(this.service.estimateUs(now)),
-      slowdown: this.slowdown,
+      serviceUs: Math.round(this.service.estimateUs(this.work.at(now))),
+      slowdown: this.work.slowdown,
       state: this.status,
     };
   }
@@ -227,7 +230,8 @@
     const limit = this.limit.current(now);
     const ahead = this.running.size + this.queue.size + 1 - limit;
     if (ahead <= 0) return 0;
-    return (ahead / limit + 1) * this.service.finishedMs;
+    const turnMs = this.service.finishedMs * this.work.slowdown;
+    return (ahead / limit + 1) * turnMs;
   }
 
   private get queueBound(): number {
@@ -244,9 +248,12 @@
       'gate.drain',
       () => 'a start while leaving',
     );
-    this.running.set(req.ref, {startedAt: now, suspect: req.suspect});
+    this.running.set(req.ref, {
+      startedWork: this.work.at(now),
+      suspect: req.suspect,
+    });
     if (req.suspect) this.suspects++;
-    this.service.start(now);
+    this.service.start(this.work.at(now));
     this.assertBounds();
   }
 
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -8,6 +8,7 @@
   Outcome,
 } from './gate';
 export {AdaptiveLimit} from './adaptive_limit';
+export {WorkClock} from './work_clock';
 export {ServiceTime} from './service_time';
 export {AnnouncementOrder} from './announcement_order';
 export type {AnnouncementMark} from './announcement_order';
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -89,7 +89,7 @@
       timers,
       connections,
       server,
-      onLoad: load => this.gate.learnSlowdown(load.slowdown),
+      onLoad: load => this.gate.learnSlowdown(timers.now(), load.slowdown),
     });
     this.loadChecker.configure(rules);
   }
@@ -276,7 +276,7 @@
     const load = this.options.server.loadOf(headers);
     if (load === undefined) return;
     this.loadChecker.noteLearnt();
-    this.gate.learnSlowdown(load.slowdown);
+    this.gate.learnSlowdown(this.options.timers.now(), load.slowdown);
   }
 
   // The answer waits for the check, as the gateway treats a death differently.
--- a/packages/routing/src/expected_time.ts
+++ b/packages/routing/src/expected_time.ts
@@ -31,6 +31,10 @@
 const LOAD_MEMORY_MS = 5;
 /** Age at which a report of the server's time counts for 1/e, milliseconds. */
 const TIME_MEMORY_MS = 1_000;
+/** Age at which a report of a server's speed counts for 1/e, milliseconds; spells of slowness last some hundred. */
+const SLOWDOWN_MEMORY_MS = 500;
+/** Speed expected of a server that has not told for long. */
+const USUAL_SLOWDOWN = 1;
 /** Share of the service time added as utilisation goes from 0 to 1. */
 const UTILISATION_WEIGHT = 0.5;
 /** Service times that one certain error is worth. */
@@ -96,6 +100,19 @@
   }
 
   private serviceUs(view: ServerView, context: PolicyContext): Micros {
+    return this.usualUs(view, context) * this.slowdown(view, context.now);
+  }
+
+  // Neighbours come and go, so that an old figure says little.
+  private slowdown(view: ServerView, now: Millis): number {
+    const {report} = view;
+    if (report === undefined || !this.mechanisms.reports) return 1;
+    const weight = this.weight(now - view.reportAt, SLOWDOWN_MEMORY_MS);
+    return weight * report.slowdown + (1 - weight) * USUAL_SLOWDOWN;
+  }
+
+  /** Time at the server at usual speed. */
+  private usualUs(view: ServerView, context: PolicyContext): Micros {
     const report = view.report;
     if (!this.mechanisms.serverTime || !this.mechanisms.reports)
       return context.medianUs;
