--- a/packages/ini-document/src/fields.ts
+++ b/packages/ini-document/src/fields.ts
@@ -1,5 +1,5 @@
 /** Field kinds of INI documents. Each carries a description of what it allows. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const INTEGER = /^-?\d{1,15}$/;
 
--- a/packages/ini-document/src/ini_document.ts
+++ b/packages/ini-document/src/ini_document.ts
@@ -3,7 +3,7 @@
 import {parse} from 'ini';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {Fault} from './fault';
 
 /** Sections of a document: name to key to text. */
--- a/packages/node/src/gateway/claim_runner.ts
+++ b/packages/node/src/gateway/claim_runner.ts
@@ -8,7 +8,7 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {ObjectStore, StoredObject} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {KeptAnswer} from '../gate/messages';
 import type {OwnerReply} from './gate_client';
 
--- a/packages/node/src/gateway/claim_sweeper.ts
+++ b/packages/node/src/gateway/claim_sweeper.ts
@@ -7,7 +7,7 @@
 } from '@goldcresthill/attempts';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What a sweeper starts from. */
 export interface ClaimSweeperOptions {
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -3,7 +3,7 @@
 import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {NodeAddress} from '@goldcresthill/types';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const PREFIX = 'nodes/';
 
--- a/packages/node/src/operator/operator_task.ts
+++ b/packages/node/src/operator/operator_task.ts
@@ -6,7 +6,7 @@
 import {HEADERS} from '@goldcresthill/protocol';
 import {parseTicket} from '@goldcresthill/tickets';
 import type {Configuration, Ticket, TicketAnswer} from '@goldcresthill/tickets';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Announcement} from '../gate/messages';
 import {Listener, readText} from '../http/listener';
 
--- a/packages/object-store/src/http_object_store.ts
+++ b/packages/object-store/src/http_object_store.ts
@@ -2,7 +2,7 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ObjectStore} from './object_store';
 import type {StoredObject, StoreResult} from './object_store';
 
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -1,6 +1,6 @@
 /** Datagrams as JSON; those of load alone are arrays, as they are sent most. */
 import type {LoadReport, ServerState} from '@goldcresthill/types';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Datagram, LoadNews, ServerLoadReport} from './datagram';
 
 const STATES: readonly ServerState[] = ['up', 'draining', 'down'];
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -3,7 +3,7 @@
 import {checkSection, fields, readSections} from '@goldcresthill/ini-document';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 const HOST = /^(\d{1,3}\.){3}\d{1,3}$/;
--- a/packages/tickets/src/configuration.ts
+++ b/packages/tickets/src/configuration.ts
@@ -4,7 +4,7 @@
 import type {ServiceRules} from '@goldcresthill/types';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Ticket} from './ticket';
 
 /** State of one service. */
--- a/packages/tickets/src/ticket.ts
+++ b/packages/tickets/src/ticket.ts
@@ -6,7 +6,7 @@
 import type {ServiceRules} from '@goldcresthill/types';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A checked ticket. A service that is to go has no rules. */
 export interface Ticket {
--- /dev/null
+++ b/scripts/undici_clients.cjs
@@ -0,0 +1,8 @@
+// The part of undici that a node on the platform uses; the whole library takes several megabytes more when loaded.
+const Dispatcher = require('../node_modules/undici/lib/dispatcher/dispatcher');
+const Client = require('../node_modules/undici/lib/dispatcher/client');
+const Pool = require('../node_modules/undici/lib/dispatcher/pool');
+
+Dispatcher.prototype.request = require('../node_modules/undici/lib/api/api-request');
+
+module.exports = {Client, Pool};
