Leaving servers outlive the node that acknowledged them; calls run on no more servers than their route allows

Cause: a gate that is killed after it acknowledged a leaving would open again on a late report. The leaving is now written to the node's entry before the acknowledgement and handed back by peers; reports are ordered by start and sequence. Hedged attempts count as runs (maxRuns); a repeatable call whose server fails goes elsewhere within the budget; the burst of the retry budget is a rule, as all nodes share one allowance.

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -9,6 +9,8 @@
   readonly repeatable: boolean;
   /** Attempts of any kind, refused ones included. */
   readonly maxAttempts?: number;
+  /** Most servers that may run the call; no bound if undefined. */
+  readonly maxRuns?: number;
   /** Resends after a lost outcome that this call tree still allows. */
   readonly retriesLeft: number;
   /** Takes one resend from the service's budget. */
@@ -281,30 +283,42 @@
   private retry(): CallCommand[] {
     if (this.deaths >= MAX_DEATHS) return [];
     if (this.retriesLeft <= 0) return [];
-    if (this.attempts.length >= this.maxAttempts) return [];
+    if (!this.mayRunAgain()) return [];
     if (!this.options.takeRetry()) return [];
     this.retriesLeft--;
     return [this.send(false)];
   }
 
+  // A refused attempt has not run and never will.
+  private mayRunAgain(): boolean {
+    if (this.attempts.length >= this.maxAttempts) return false;
+    const runs = this.attempts.filter(a => a.state !== 'notRun').length;
+    return runs < (this.options.maxRuns ?? Infinity);
+  }
+
   private hedge(): CallCommand[] {
     if (!this.options.repeatable || this.openCount() !== 1) return [];
-    if (this.retriesLeft <= 0) return [];
-    if (this.attempts.length >= this.maxAttempts) return [];
-    if (!this.options.takeHedge()) return [];
-    this.retriesLeft--;
-    return [this.send(true)];
+    if (!this.mayRunAgain()) return [];
+    return this.options.takeHedge() ? [this.send(true)] : [];
   }
 
   // The error of one attempt does not win over another that may still succeed.
   private answeredBy(attempt: number, error: boolean): CallCommand[] {
     const entry = this.entry(attempt);
-    if (!error || this.openCount() < 2 || !OPEN.includes(entry.state)) {
-      return this.deliver(attempt);
+    if (!error || !OPEN.includes(entry.state)) return this.deliver(attempt);
+    if (this.openCount() > 1) {
+      this.hold(attempt);
+      return [];
     }
-    entry.state = 'held';
+    const again = this.options.repeatable ? this.retry() : [];
+    if (again.length === 0) return this.deliver(attempt);
+    this.hold(attempt);
+    return again;
+  }
+
+  private hold(attempt: number): void {
+    this.entry(attempt).state = 'held';
     this.held ??= attempt;
-    return [];
   }
 
   private deliver(attempt: number): CallCommand[] {
--- a/packages/attempts/src/call_plan_test.ts
+++ b/packages/attempts/src/call_plan_test.ts
@@ -203,6 +203,48 @@
     expect(worse.handle(lost)).toEqual([{type: 'deliver', attempt: 1}]);
   });
 
+  it('sends a repeatable call elsewhere when its server fails, and keeps the failure', () => {
+    const events: CallEvent[] = [
+      {type: 'begin'},
+      {type: 'sent', attempt: 0, server: 'a'},
+      {type: 'answered', attempt: 0, error: true},
+      {type: 'sent', attempt: 1, server: 'b'},
+    ];
+    const better = plan({repeatable: true});
+    expect(play(better, events)[2]).toMatchObject([
+      {type: 'send', attempt: 1, exclude: ['a']},
+    ]);
+    expect(better.handle({type: 'answered', attempt: 1})).toEqual([
+      {type: 'deliver', attempt: 1},
+    ]);
+    const worse = plan({repeatable: true, retriesLeft: 1});
+    play(worse, events);
+    expect(worse.handle({type: 'answered', attempt: 1, error: true})).toEqual([
+      {type: 'deliver', attempt: 1},
+    ]);
+    const once = plan({repeatable: false});
+    expect(play(once, events.slice(0, 3)).at(-1)).toEqual([
+      {type: 'deliver', attempt: 0},
+    ]);
+  });
+
+  it('runs a call on no more servers than it may', () => {
+    const bounded = plan({repeatable: true, maxRuns: 2});
+    const events: CallEvent[] = [
+      {type: 'begin'},
+      {type: 'sent', attempt: 0, server: 'a'},
+      {type: 'refused', attempt: 0, kind: 'draining'},
+      {type: 'sent', attempt: 1, server: 'b'},
+      {type: 'hedgeDue'},
+      {type: 'sent', attempt: 2, server: 'c'},
+      {type: 'broke', attempt: 1, kind: 'connectionLost'},
+      {type: 'broke', attempt: 2, kind: 'connectionLost'},
+    ];
+    expect(play(bounded, events).at(-1)).toEqual([
+      {type: 'fail', kind: 'connectionLost', runState: 'unknown'},
+    ]);
+  });
+
   it('does not send to a third server what two have died of', () => {
     const events: CallEvent[] = [
       {type: 'begin'},
--- a/packages/gate/src/announcement_order.ts
+++ b/packages/gate/src/announcement_order.ts
@@ -9,9 +9,10 @@
   readonly sequence: number;
 }
 
-/** Remembers the newest announcement of the newest process. */
+/** Remembers the newest announcement of the newest process, and the processes that have said they leave. */
 export class AnnouncementOrder {
   private newest: AnnouncementMark | undefined;
+  private readonly left = new Set<string>();
 
   /** Whether an announcement is news; if so it becomes the newest. */
   accept(mark: AnnouncementMark): boolean {
@@ -21,6 +22,15 @@
     return true;
   }
 
+  /** A process leaves, or is known to have left, for good. */
+  leave(instance: string): void {
+    this.left.add(instance);
+  }
+
+  hasLeft(instance: string): boolean {
+    return this.left.has(instance);
+  }
+
   /** The process that announced last. */
   get current(): AnnouncementMark | undefined {
     return this.newest;
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -124,6 +124,9 @@
       case 'announce':
         this.announce(message.announcement);
         return;
+      case 'left':
+        message.instances.forEach(instance => this.takeLeft(instance));
+        return;
       case 'configure':
         this.configure(message.rules);
         return;
@@ -214,9 +217,9 @@
   }
 
   private announce(announcement: Announcement): void {
-    const {mark} = announcement;
-    if (mark !== undefined && !this.order.accept(mark)) {
-      const {instance, state} = announcement;
+    const {mark, instance, state} = announcement;
+    const back = state === 'up' && this.order.hasLeft(instance);
+    if (back || (mark !== undefined && !this.order.accept(mark))) {
       this.options.events.onDecision({
         what: 'lateAnnouncement',
         instance,
@@ -224,6 +227,7 @@
       });
       return;
     }
+    if (state === 'draining') this.order.leave(instance);
     const known = this.links.get(announcement.service);
     const replaced =
       known !== undefined && known.instance !== announcement.instance;
@@ -239,6 +243,16 @@
     }
   }
 
+  // Word of a leaving that an earlier process of this node acknowledged.
+  private takeLeft(instance: string): void {
+    if (this.order.hasLeft(instance)) return;
+    this.order.leave(instance);
+    for (const link of this.links.values()) {
+      if (link.instance === instance) link.leave();
+    }
+    this.tellServers();
+  }
+
   private open(announcement: Announcement): void {
     const rules = this.rules.get(announcement.service) ?? DEFAULT_SERVICE_RULES;
     const link = new ServerLink({
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -86,6 +86,11 @@
     }
   | {readonly type: 'acknowledge'; readonly id: AttemptId}
   | {readonly type: 'announce'; readonly announcement: Announcement}
+  | {
+      /** Server processes that have said that they leave, in an earlier process of this node. */
+      readonly type: 'left';
+      readonly instances: readonly string[];
+    }
   | {
       readonly type: 'configure';
       readonly rules: ReadonlyMap<string, ServiceRules>;
--- a/packages/node/src/gateway/call_reader.ts
+++ b/packages/node/src/gateway/call_reader.ts
@@ -13,6 +13,8 @@
   readonly retriesLeft: number;
   readonly depth: number;
   readonly repeatable: boolean;
+  /** Most servers that may run the call; no bound if undefined. */
+  readonly maxRuns?: number;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Time within which an answer is worth its full value, milliseconds. */
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -85,6 +85,7 @@
       takeRetry: () => router.takeRetry(),
       takeHedge: () => router.takeHedge(),
       resolving: env.resolving,
+      maxRuns: call.info.maxRuns,
     });
   }
 
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -47,12 +47,14 @@
   readonly decisions: DecisionLog;
   readonly metrics: Metrics;
   readonly random: () => number;
+  /** Time for which the answer to a call whose server died is held back, milliseconds. */
+  readonly newsHoldMs?: number;
   readonly onFault: (err: unknown) => void;
 }
 
 const EVICT_MS = 1_000;
-/** Time for which the answer to a call whose server died is held back, milliseconds. */
-const NEWS_HOLD_MS = 500;
+/** Time for which the answer to a call whose server died is held back unless told otherwise, milliseconds. */
+const DEFAULT_NEWS_HOLD_MS = 500;
 const MICROS_PER_MILLI = 1_000;
 
 /** What answering a call takes. */
@@ -310,6 +312,7 @@
       deadline: startedAt + head.deadlineMs,
       retriesLeft: head.retriesLeft,
       depth: head.depth,
+      maxRuns: head.maxRuns,
       priority: head.priority,
       objective: startedAt + head.objectiveMs,
     };
@@ -392,7 +395,8 @@
 
   // The news of a server's death is to be everywhere before its caller sends the same again.
   private failLater(context: CallContext, kind: ErrorKind): void {
-    const holdMs = kind === 'serverDied' ? NEWS_HOLD_MS : 0;
+    const {newsHoldMs = DEFAULT_NEWS_HOLD_MS} = this.options;
+    const holdMs = kind === 'serverDied' ? newsHoldMs : 0;
     if (holdMs === 0) this.fail(context, kind);
     else this.timers.after(holdMs, () => this.fail(context, kind));
   }
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -18,6 +18,8 @@
     region: z.string(),
   }),
   incarnation: z.number(),
+  /** Server processes of this VM that have said that they leave. */
+  leaving: z.array(z.string()).optional(),
 });
 
 type PresenceValue = z.output<typeof presenceSchema>;
@@ -29,10 +31,14 @@
   readonly breaker: StoreBreaker;
   readonly address: NodeAddress;
   readonly incarnation: number;
+  /** Server processes that had said that they leave, as an earlier process of this node has written. */
+  readonly onLeaving?: (instances: readonly string[]) => void;
   readonly onPeers: (records: readonly MemberRecord[]) => void;
 }
 
 const RETRY_MS = 200;
+/** Server processes of one VM that are remembered; more than end within the time that reports can be late. */
+const MAX_LEAVING = 8;
 
 /** Writes presence once, reads the others once, and removes its own at the end. */
 export class Presence {
@@ -40,6 +46,7 @@
   private timer: Cancel | undefined;
   private closed = false;
   private listed = false;
+  private leaving: readonly string[] = [];
 
   constructor(private readonly options: PresenceOptions) {}
 
@@ -53,6 +60,13 @@
     this.timer = timers.after(waitMs, () => void this.start());
   }
 
+  /** Writes that a server process leaves; false if that could not be written now. */
+  async noteLeaving(instance: string): Promise<boolean> {
+    if (this.leaving.includes(instance)) return true;
+    this.leaving = [...this.leaving, instance].slice(-MAX_LEAVING);
+    return this.write();
+  }
+
   /** Removes the presence of this node, if it was written. */
   async remove(): Promise<void> {
     this.close();
@@ -91,13 +105,23 @@
     const path = this.path(address.nodeId);
     const found = await store.get(path);
     if (found.isErr()) return false;
-    const value = JSON.stringify({address, incarnation});
+    this.takePrevious(found.value?.value);
+    const {leaving} = this;
+    const value = JSON.stringify({address, incarnation, leaving});
     const put = await store.put(path, value, found.value?.version ?? 0);
     if (put.isErr()) return false;
     this.version = put.value;
     return true;
   }
 
+  private takePrevious(text: string | undefined): void {
+    const previous = text === undefined ? undefined : readPresence(text);
+    const {leaving} = this;
+    const more = (previous?.leaving ?? []).filter(i => !leaving.includes(i));
+    this.leaving = [...more, ...leaving].slice(-MAX_LEAVING);
+    this.options.onLeaving?.(this.leaving);
+  }
+
   private async list(): Promise<boolean> {
     const {store, onPeers, address} = this.options;
     const found = await store.list(PREFIX);
@@ -126,6 +150,6 @@
 }
 
 // The same as a node's own first record, which is then no news.
-function toRecord(value: PresenceValue): MemberRecord {
-  return {...value, version: 1, status: 'alive', servers: []};
+function toRecord({address, incarnation}: PresenceValue): MemberRecord {
+  return {address, incarnation, version: 1, status: 'alive', servers: []};
 }
--- a/packages/node/src/peers/peer_task.ts
+++ b/packages/node/src/peers/peer_task.ts
@@ -21,6 +21,8 @@
     loads: readonly ServerLoadReport[],
   ) => void;
   readonly onNews: (news: MemberNews) => void;
+  /** Server processes of this VM leave, as an earlier process of this node had told. */
+  readonly onLeaving: (instances: readonly string[]) => void;
   /** Another node has a newer configuration. */
   readonly onNewerConfig: (holder: NodeAddress) => void;
   readonly onFault: (err: unknown) => void;
@@ -169,7 +171,10 @@
       const news: MemberNews = {type: 'clearance', ...clearance};
       if (this.news.post(now, news)) events.onNews(news);
     }
-    if (hello.asks || isNew) this.send(this.hello(false), hello.address);
+    if (hello.yourLeaving.length > 0) events.onLeaving(hello.yourLeaving);
+    if (!hello.asks && !isNew) return;
+    const yourLeaving = this.table.leavingAt(hello.address.nodeId);
+    this.send({...this.hello(false), yourLeaving}, hello.address);
   }
 
   private tellMembers(): void {
@@ -198,6 +203,7 @@
       servers: servers(),
       loads: loads(),
       ...this.news.current(timers.now()),
+      yourLeaving: [],
       asks,
     };
   }
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -48,6 +48,10 @@
 /** Time kept for closing connections before the grace period ends, milliseconds. */
 const CLOSING_MS = 500;
 const POLL_MS = 20;
+/** Longest wait for the store before a leaving is acknowledged all the same; a report is answered within a second. */
+const PERSIST_MS = 400;
+/** Longest wait for what an earlier process of this node knew, milliseconds. */
+const RECALL_MS = 700;
 const MILLIS_PER_SECOND = 1_000;
 const BOOT_FRACTION = 1_000;
 /** Time for which the own watch may still bring a configuration that another node has, milliseconds. */
@@ -69,6 +73,11 @@
   private readonly budget: BodyBudget;
   private leaving = false;
   private fetching = false;
+  private markRecalled: () => void = () => undefined;
+  /** Resolves once it is known which servers have left before this process started. */
+  private readonly recalled = new Promise<void>(done => {
+    this.markRecalled = done;
+  });
 
   constructor(private readonly options: SidecarNodeOptions) {
     this.address = this.makeAddress();
@@ -96,8 +105,22 @@
     this.options.logger.info('started', {nodeId, bootId, domain});
   }
 
-  /** Takes what the server of this VM says of itself. */
-  announce(announcement: Announcement): void {
+  /**
+   * Takes what the server of this VM says of itself. Resolves when it may be
+   * acknowledged: a leaving is then known beyond the life of this process.
+   */
+  async announce(announcement: Announcement): Promise<void> {
+    const {timers} = this.options;
+    if (announcement.state === 'draining') {
+      this.gate.post({type: 'announce', announcement});
+      await Promise.race([
+        this.presence.noteLeaving(announcement.instance),
+        timers.pause(PERSIST_MS),
+      ]);
+      return;
+    }
+    // A late report of a server that an earlier process knew to leave must not open the gate.
+    await Promise.race([this.recalled, timers.pause(RECALL_MS)]);
     this.gate.post({type: 'announce', announcement});
   }
 
@@ -209,6 +232,8 @@
       decisions: new DecisionLog(this.options.logger),
       metrics,
       random: random ?? Math.random,
+      // News of a death is with the others within a datagram's time.
+      newsHoldMs: 0,
       onFault: err => this.onFault(err),
     });
   }
@@ -238,6 +263,7 @@
         onLoads: (nodeId, loads) =>
           this.gateway.post({type: 'loads', nodeId, loads}),
         onNews: news => this.onNews(news),
+        onLeaving: instances => this.takeLeaving(instances),
         onNewerConfig: holder => void this.fetchNewer(holder),
         onFault: err => this.onFault(err),
       },
@@ -251,6 +277,7 @@
       breaker: this.newBreaker(),
       address: this.address,
       incarnation: this.address.bootId,
+      onLeaving: instances => this.takeLeaving(instances),
       onPeers: records => this.peers.learnListed(records.map(r => r.address)),
     });
   }
@@ -297,6 +324,11 @@
     this.gate.post({type: 'configure', rules});
   }
 
+  private takeLeaving(instances: readonly string[]): void {
+    this.gate.post({type: 'left', instances});
+    this.markRecalled();
+  }
+
   private async fetchNewer(holder: NodeAddress): Promise<void> {
     if (this.fetching) return;
     this.fetching = true;
--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -22,6 +22,9 @@
 /** Silence after which a process with an older clock replaces the known one; above the interval of load datagrams. */
 const TAKEOVER_MS = 1_000;
 
+/** Server processes of one VM that are remembered as leaving. */
+const MAX_LEAVING = 8;
+
 interface Peer {
   address: NodeAddress;
   /** Undefined until a datagram of this process of the node has come. */
@@ -30,6 +33,8 @@
   configVersion: number;
   heardAt: Millis;
   suspect: boolean;
+  /** Server processes of that VM that have been heard to leave, also from earlier processes of the node. */
+  leaving: readonly string[];
 }
 
 /** What a datagram or the passing of time has changed. */
@@ -56,7 +61,8 @@
     if (address.nodeId === this.options.self.nodeId) return;
     const known = this.peers.get(address.nodeId);
     if (known !== undefined && known.address.bootId >= address.bootId) return;
-    this.peers.set(address.nodeId, newPeer(now, address));
+    const leaving = known?.leaving ?? [];
+    this.peers.set(address.nodeId, {...newPeer(now, address), leaving});
   }
 
   /** Takes a datagram. */
@@ -105,6 +111,11 @@
       .map(peer => peer.address);
   }
 
+  /** Server processes of a VM that leave, to remind its node of when it has started anew. */
+  leavingAt(nodeId: string): readonly string[] {
+    return this.peers.get(nodeId)?.leaving ?? [];
+  }
+
   /** A live node with a newer configuration than the given one. */
   holderOfNewer(configVersion: number): NodeAddress | undefined {
     for (const peer of this.peers.values()) {
@@ -131,6 +142,7 @@
     const isNew =
       known?.hello === undefined || known.address.bootId !== address.bootId;
     const peer = isNew ? newPeer(now, address) : known;
+    peer.leaving = leavingOf(hello, known?.leaving ?? []);
     const members =
       isNew || peer.suspect || describe(peer.hello) !== describe(hello);
     this.peers.set(address.nodeId, peer);
@@ -170,9 +182,18 @@
     configVersion: 0,
     heardAt: now,
     suspect: false,
+    leaving: [],
   };
 }
 
+function leavingOf(hello: Hello, known: readonly string[]): readonly string[] {
+  const now = hello.servers
+    .filter(server => server.state === 'draining')
+    .map(server => server.instance);
+  const more = now.filter(instance => !known.includes(instance));
+  return more.length === 0 ? known : [...known, ...more].slice(-MAX_LEAVING);
+}
+
 // The clock of a VM may have gone back before its node started anew.
 function isOlderThan(now: Millis, hello: Hello, peer: Peer): boolean {
   if (hello.address.bootId !== peer.address.bootId) {
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -69,6 +69,8 @@
     'answered' | 'serverError' | 'refused' | 'failed' | 'cancelled';
 }
 
+/** Hedged attempts that may be made at once. */
+const HEDGE_BURST = 3;
 /** A hedged attempt goes to servers below this share of their limit. */
 const HEDGE_UTILISATION = 0.7;
 /** A hedged attempt does not go to servers above this share of errors. */
@@ -97,10 +99,13 @@
   ) {
     this.rules = options.rules;
     this.policy = options.policy ?? policyOf(options.rules.policy);
-    this.retry = new RatioBudget({percent: options.rules.retryPercent});
+    this.retry = new RatioBudget({
+      percent: options.rules.retryPercent,
+      burst: options.rules.retryBurst,
+    });
     this.hedging = new RatioBudget({
       percent: options.rules.hedgePercent,
-      burst: 3,
+      burst: Math.min(HEDGE_BURST, options.rules.retryBurst),
     });
     this.hedgeAfter = new LatencyQuantile(options.rules.hedgeQuantile);
     this.probes = new ProbePlanner(now, options.rules);
--- a/packages/tickets/src/ticket.ts
+++ b/packages/tickets/src/ticket.ts
@@ -50,6 +50,7 @@
   once_paths: fields.list(PATH, 'path prefixes').default([]),
   max_retries: fields.integer(0, 10).default(D.maxRetries),
   retry_percent: fields.decimal(0, 100).default(D.retryPercent),
+  retry_burst: fields.integer(0, 10_000).default(D.retryBurst),
   hedge_percent: fields.decimal(0, 50).default(D.hedgePercent),
   hedge_quantile: fields.decimal(50, 99.9).default(D.hedgeQuantile),
   probes_per_second: fields.decimal(0, 10_000).default(D.probesPerSecond),
--- a/packages/types/src/call.ts
+++ b/packages/types/src/call.ts
@@ -33,6 +33,8 @@
   readonly retriesLeft: number;
   /** How many gateways the call tree passed through to get here. */
   readonly depth: number;
+  /** Most servers that may run the call; no bound if undefined. */
+  readonly maxRuns?: number;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Instant up to which an answer is worth its full value to the caller. */
--- a/packages/types/src/service.ts
+++ b/packages/types/src/service.ts
@@ -21,6 +21,8 @@
   readonly maxRetries: number;
   /** Resends as a share of calls, percent. */
   readonly retryPercent: number;
+  /** Resends that a node may make at once without calls that pay for them. */
+  readonly retryBurst: number;
   /** Hedged attempts as a share of calls, percent; 0 turns hedging off. */
   readonly hedgePercent: number;
   /** Quantile of the service's latency after which a call is hedged, percent. */
@@ -69,6 +71,7 @@
   oncePaths: [],
   maxRetries: 3,
   retryPercent: 20,
+  retryBurst: 10,
   hedgePercent: 5,
   hedgeQuantile: 95,
   probesPerSecond: 5,
