An answer without a length is not whole when its connection is reset

Change: a connector that renames the error; both kinds of pools use it. The new test fails with undici's own connector and passes with this one.

--- a/packages/node/src/gateway/gate_links.ts
+++ b/packages/node/src/gateway/gate_links.ts
@@ -2,6 +2,7 @@
 import type {MemberRecord} from '@goldcresthill/membership';
 import type {NodeAddress} from '@goldcresthill/types';
 import {Client, Pool} from 'undici';
+import {connectorOf} from '../http/connector';
 
 const CONNECT_TIMEOUT_MS = 500;
 const IDLE_CONNECTION_MS = 20_000;
@@ -70,7 +71,7 @@
 /** A connection of its own, for questions about exchanges on others. */
 export function freshClient(host: string, port: number): Client {
   return new Client(`http://${host}:${port}`, {
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: connectorOf(CONNECT_TIMEOUT_MS),
   });
 }
 
@@ -78,7 +79,7 @@
   return new Pool(`http://${address.host}:${address.dataPort}`, {
     connections: null,
     pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: connectorOf(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: IDLE_CONNECTION_MS,
   });
 }
--- /dev/null
+++ b/packages/node/src/http/connector_test.ts
@@ -0,0 +1,60 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {Pool} from 'undici';
+import {afterEach, describe, expect, it} from 'vitest';
+import {connectorOf} from './connector';
+import {HttpExchange} from './exchange';
+import type {ExchangeResult} from './exchange';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+const PAUSE_MS = 30;
+
+let server: Server | undefined;
+let pool: Pool | undefined;
+
+/** Answers without a length and then ends the connection in the given way. */
+async function exchangeWith(
+  end: (socket: Socket) => void,
+): Promise<ExchangeResult> {
+  const listening = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(`${HEAD}part of the body`);
+      setTimeout(() => end(socket), PAUSE_MS);
+    });
+  });
+  server = listening;
+  await new Promise<void>(done => listening.listen(0, '127.0.0.1', done));
+  const {port} = listening.address() as AddressInfo;
+  const client = new Pool(`http://127.0.0.1:${port}`, {
+    connect: connectorOf(500),
+  });
+  pool = client;
+  return new Promise(done => {
+    const req = {
+      method: 'GET',
+      path: '/',
+      headers: {},
+      body: Buffer.alloc(0),
+      maxBufferedBytes: 1_024,
+    };
+    new HttpExchange(req, done).start(client);
+  });
+}
+
+describe('an answer without a length', () => {
+  afterEach(async () => {
+    await pool?.destroy();
+    server?.close();
+  });
+
+  it('is whole when its connection ends', async () => {
+    const result = await exchangeWith(socket => socket.end());
+    expect(result).toMatchObject({type: 'answer', status: 200});
+  });
+
+  it('is not whole when its connection is reset', async () => {
+    const result = await exchangeWith(socket => socket.resetAndDestroy());
+    expect(result).toMatchObject({type: 'broke', sent: true});
+  });
+});
--- a/scripts/undici_clients.cjs
+++ b/scripts/undici_clients.cjs
@@ -5,4 +5,6 @@
 
 Dispatcher.prototype.request = require('../node_modules/undici/lib/api/api-request');
 
-module.exports = {Client, Pool};
+const buildConnector = require('../node_modules/undici/lib/core/connect');
+
+module.exports = {Client, Pool, buildConnector};
