Resets that come together with data are told from the end of an answer

Cause: Node.js (libuv) reports POLLHUP after a partial read as the end of the stream, so a reset that arrives with the last bytes never becomes ECONNRESET. Change: the connector looks for the peer when the stream ends; without one the connection was reset. A test on loopback failed before and passes now. Nodes take no new calls 2.5 s after SIGTERM; a node's own leaving is not handed back as its server's.

--- a/packages/gate/src/announcement_order.ts
+++ b/packages/gate/src/announcement_order.ts
@@ -9,6 +9,9 @@
   readonly sequence: number;
 }
 
+/** Processes told of; more do not leave one VM within the time that reports can be late. */
+const MAX_TOLD = 8;
+
 /** Remembers the newest announcement of the newest process, and the processes that have said they leave. */
 export class AnnouncementOrder {
   private newest: AnnouncementMark | undefined;
@@ -31,6 +34,10 @@
     return this.left.has(instance);
   }
 
+  get allLeft(): string[] {
+    return [...this.left].slice(-MAX_TOLD);
+  }
+
   /** The process that announced last. */
   get current(): AnnouncementMark | undefined {
     return this.newest;
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -97,6 +97,11 @@
     return [...this.links.values()].map(link => link.record);
   }
 
+  /** Server processes that have said that they leave. */
+  get leavingServers(): string[] {
+    return this.order.allLeft;
+  }
+
   /** Whether the ledger has an entry for an attempt. */
   ledgerKnows(id: AttemptId): boolean {
     return this.ledger.stateOf(id) !== undefined;
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -79,6 +79,7 @@
   private callSeq = 0;
   private open = 0;
   private closing = false;
+  private accepting = true;
 
   constructor(private readonly options: GatewayTaskOptions) {
     super();
@@ -122,7 +123,9 @@
     this.closing = true;
   }
 
+  /** From now on calls are refused; those under way go on. */
   stopAccepting(): void {
+    this.accepting = false;
     this.listener.stopAccepting();
   }
 
@@ -233,6 +236,7 @@
     this.open++;
     res.on('close', () => this.open--);
     try {
+      if (!this.accepting) throw new BalancerError('nodeClosing', '');
       const head = this.options.callers.readHead(req, this.rules);
       const router = this.routers.get(head.service);
       if (router === undefined) {
--- a/packages/node/src/http/connector.ts
+++ b/packages/node/src/http/connector.ts
@@ -1,24 +1,39 @@
 /** Opens connections for undici's clients. */
+import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
 
-/** An answer without a length ends with its connection, but not with one that is reset. */
+/** Any code but ECONNRESET, after which undici takes an answer without a length for whole. */
 const RESET_IN_ANSWER = 'UND_ERR_SOCKET';
 
 /**
- * A connector after whose reset no answer passes for whole: undici takes what
- * came before ECONNRESET for the whole of an answer without a length.
+ * A connector after whose reset no answer passes for whole. An answer without
+ * a length ends with its connection, but not with one that is reset.
  */
 export function connectorOf(timeoutMs: number): buildConnector.connector {
   const connect = buildConnector({timeout: timeoutMs});
   return (options, callback) => {
     connect(options, (...result) => {
       const [, socket] = result;
-      socket?.prependListener('error', renameReset);
+      if (socket) watchForReset(socket);
       callback(...result);
     });
   };
 }
 
-function renameReset(err: NodeJS.ErrnoException): void {
-  if (err.code === 'ECONNRESET') err.code = RESET_IN_ANSWER;
+function watchForReset(socket: Socket): void {
+  socket.prependListener('error', (err: NodeJS.ErrnoException) => {
+    if (err.code === 'ECONNRESET') err.code = RESET_IN_ANSWER;
+  });
+  const push = socket.push.bind(socket);
+  // Node.js reports a reset that comes together with data as the end of the stream.
+  socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
+    if (chunk !== null || !isReset(socket)) return push(chunk, encoding);
+    socket.destroy(new Error('connection reset'));
+    return false;
+  };
+}
+
+// A socket that was reset no longer has a peer; one whose peer only stopped sending has.
+function isReset(socket: Socket): boolean {
+  return !socket.destroyed && socket.remoteAddress === undefined;
 }
--- a/packages/node/src/http/connector_test.ts
+++ b/packages/node/src/http/connector_test.ts
@@ -15,12 +15,15 @@
 /** Answers without a length and then ends the connection in the given way. */
 async function exchangeWith(
   end: (socket: Socket) => void,
+  pauseMs: number,
+  head = HEAD,
 ): Promise<ExchangeResult> {
   const listening = createServer(socket => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
-      socket.write(`${HEAD}part of the body`);
-      setTimeout(() => end(socket), PAUSE_MS);
+      socket.write(`${head}part of the body`);
+      if (pauseMs === 0) end(socket);
+      else setTimeout(() => end(socket), pauseMs);
     });
   });
   server = listening;
@@ -42,19 +45,35 @@
   });
 }
 
-describe('an answer without a length', () => {
-  afterEach(async () => {
-    await pool?.destroy();
-    server?.close();
-  });
+describe.each([0, PAUSE_MS])(
+  'an answer, %i ms before its connection ends',
+  pauseMs => {
+    afterEach(async () => {
+      await pool?.destroy();
+      server?.close();
+    });
 
-  it('is whole when its connection ends', async () => {
-    const result = await exchangeWith(socket => socket.end());
-    expect(result).toMatchObject({type: 'answer', status: 200});
-  });
+    it('without a length is whole when its connection ends', async () => {
+      const result = await exchangeWith(socket => socket.end(), pauseMs);
+      expect(result).toMatchObject({type: 'answer', status: 200});
+    });
 
-  it('is not whole when its connection is reset', async () => {
-    const result = await exchangeWith(socket => socket.resetAndDestroy());
-    expect(result).toMatchObject({type: 'broke', sent: true});
-  });
-});
+    it('without a length is not whole when its connection is reset', async () => {
+      const result = await exchangeWith(
+        socket => socket.resetAndDestroy(),
+        pauseMs,
+      );
+      expect(result).toMatchObject({type: 'broke', sent: true});
+    });
+
+    it('with a length is whole though its connection is reset', async () => {
+      const length = 'part of the body'.length;
+      const result = await exchangeWith(
+        socket => socket.resetAndDestroy(),
+        pauseMs,
+        `HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n`,
+      );
+      expect(result).toMatchObject({type: 'answer', status: 200});
+    });
+  },
+);
--- a/packages/node/src/peers/peer_task.ts
+++ b/packages/node/src/peers/peer_task.ts
@@ -35,6 +35,8 @@
   readonly servers: () => readonly ServerRecord[];
   readonly loads: () => readonly ServerLoadReport[];
   readonly configVersion: () => number;
+  /** Server processes of this VM that have said that they leave. */
+  readonly leavingServers: () => readonly string[];
   readonly events: PeerEvents;
 }
 
@@ -203,6 +205,7 @@
       servers: servers(),
       loads: loads(),
       ...this.news.current(timers.now()),
+      leavingServers: this.options.leavingServers(),
       yourLeaving: [],
       asks,
     };
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -144,11 +144,9 @@
     this.gate.post({type: 'drain'});
     this.peers.leave();
     const endAt = startedAt + graceMs - CLOSING_MS;
-    const calmAt = Math.min(startedAt + LAME_DUCK_MS, endAt);
-    while (timers.now() < calmAt || (!this.isIdle && timers.now() < endAt)) {
-      await timers.pause(POLL_MS);
-    }
+    await timers.pause(Math.min(LAME_DUCK_MS, graceMs - CLOSING_MS));
     this.gateway.stopAccepting();
+    while (!this.isIdle && timers.now() < endAt) await timers.pause(POLL_MS);
     const left = this.gate.requestsInFlight + this.gateway.callsOpen;
     await timers.pause(CLOSING_MS / 2);
     await this.close();
@@ -258,6 +256,7 @@
       servers: () => this.gate.servers,
       loads: () => this.gate.loads,
       configVersion: () => this.config.version,
+      leavingServers: () => this.gate.leavingServers,
       events: {
         onMembers: () => this.tellMembers(),
         onLoads: (nodeId, loads) =>
--- a/packages/peers/src/datagram.ts
+++ b/packages/peers/src/datagram.ts
@@ -22,6 +22,8 @@
   readonly loads: readonly ServerLoadReport[];
   readonly strikes: readonly Strike[];
   readonly clearances: readonly Clearance[];
+  /** Server processes of the sender's VM that have said that they leave. */
+  readonly leavingServers: readonly string[];
   /** Server processes of the receiver's VM that leave, as it had told before it started anew. */
   readonly yourLeaving: readonly string[];
   /** The receiver is to answer with a hello of its own. */
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -44,6 +44,7 @@
     z.object({fingerprint: z.string(), instance: z.string(), at: z.number()}),
   ),
   clearances: z.array(z.object({fingerprint: z.string(), at: z.number()})),
+  leavingServers: z.array(z.string()),
   yourLeaving: z.array(z.string()),
   asks: z.boolean(),
 });
--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -187,10 +187,7 @@
 }
 
 function leavingOf(hello: Hello, known: readonly string[]): readonly string[] {
-  const now = hello.servers
-    .filter(server => server.state === 'draining')
-    .map(server => server.instance);
-  const more = now.filter(instance => !known.includes(instance));
+  const more = hello.leavingServers.filter(i => !known.includes(i));
   return more.length === 0 ? known : [...known, ...more].slice(-MAX_LEAVING);
 }
 
--- a/packages/peers/src/peer_table_test.ts
+++ b/packages/peers/src/peer_table_test.ts
@@ -42,6 +42,7 @@
     loads: [{service: 'orders', report: report(1, 4)}],
     strikes: [],
     clearances: [],
+    leavingServers: [],
     yourLeaving: [],
     asks: false,
     ...more,
@@ -121,12 +122,20 @@
 
   it('remembers for a node which of its servers were leaving', () => {
     const peers = table();
-    peers.hear(0, hello('b', 1, {servers: [server('draining')]}));
+    peers.hear(0, hello('b', 1, {leavingServers: ['s1']}));
     const restarted = {address: address('b', 2), servers: []};
     peers.hear(10, hello('b', 0, {...restarted, asks: true}));
     expect(peers.leavingAt('b')).toEqual(['s1']);
   });
 
+  it('does not take the leaving of a node for that of its server', () => {
+    const peers = table();
+    const leaving = {leaving: true, servers: [server('draining')]};
+    peers.hear(0, hello('b', 1, leaving));
+    peers.hear(10, hello('b', 0, {address: address('b', 2), asks: true}));
+    expect(peers.leavingAt('b')).toEqual([]);
+  });
+
   it('knows who has a newer configuration', () => {
     const peers = table();
     peers.hear(0, hello('b', 1));
