Gates serve by priority and objective; late work no longer takes the place of work in time

Change: WaitingLine (in time first, then priority, then arrival); a new request that cannot end within its objective is refused at once, one that came back is not; a full line gives way to more urgent requests; CallerPatience tells callers that come back by the time they have left; the duration expected of work under a spell of slowness ends with the spell; slot_percent also holds for links that opened before the configuration came.

--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -386,6 +386,7 @@
       suspect: false,
       priority: 0,
       objective: deadline,
+      returning: false,
     });
     if (admission.type === 'start') this.begin(server, ref);
     if (admission.type === 'refuse') this.refuse(server, ref);
--- a/packages/gate/src/adaptive_limit.ts
+++ b/packages/gate/src/adaptive_limit.ts
@@ -21,15 +21,19 @@
   private limit: number;
   private raisedAt: Millis;
   private warmUpMs: number;
+  private slots: number;
 
   constructor(private readonly options: AdaptiveLimitOptions) {
+    this.slots = options.slots;
     this.limit = options.slots;
     this.raisedAt = options.startedAt;
     this.warmUpMs = options.warmUpMs;
   }
 
-  /** Takes another length of the warm-up; it counts from the same start. */
-  configure(warmUpMs: number): void {
+  /** Takes other bounds; the warm-up counts from the same start. */
+  configure(slots: number, warmUpMs: number): void {
+    if (slots !== this.slots) this.limit = slots;
+    this.slots = slots;
     this.warmUpMs = warmUpMs;
   }
 
@@ -43,13 +47,13 @@
     }
     if (now - this.raisedAt < RAISE_EVERY_MS) return;
     this.raisedAt = now;
-    this.limit = Math.min(this.options.slots, this.limit + 1);
+    this.limit = Math.min(this.slots, this.limit + 1);
   }
 
   /** Requests that may run at once now; at least one, at most the slots. */
   current(now: Millis): number {
-    const {slots, startedAt} = this.options;
-    const {warmUpMs} = this;
+    const {startedAt} = this.options;
+    const {slots, warmUpMs} = this;
     const warm = warmUpMs > 0 ? (now - startedAt) / warmUpMs : 1;
     const share = Math.min(
       1,
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -1,6 +1,6 @@
 /** The only way to one server. */
 import type {ErrorKind} from '@goldcresthill/errors';
-import {invariant} from '@goldcresthill/types';
+import {expectedWorkTime, invariant} from '@goldcresthill/types';
 import type {
   LoadReport,
   Millis,
@@ -8,6 +8,7 @@
   ServiceRules,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
+import {WaitingLine} from './waiting_line';
 import {WorkClock} from './work_clock';
 import {ServiceTime} from './service_time';
 
@@ -34,12 +35,18 @@
   readonly priority: number;
   /** Instant up to which an answer is worth its full value. */
   readonly objective: Millis;
+  /** The caller was refused before. */
+  readonly returning: boolean;
 }
 
 /** Answer to a request that has just arrived. */
 export type Admission =
   | {readonly type: 'start'}
-  | {readonly type: 'queued'}
+  | {
+      readonly type: 'queued';
+      /** A less urgent request that gave way and is to be refused. */
+      readonly evicted: number | undefined;
+    }
   | {readonly type: 'refuse'; readonly kind: ErrorKind};
 
 /** How a request ended at the server. */
@@ -55,7 +62,7 @@
 /** Share of the time left that a request waits at one gate. */
 const QUEUE_SHARE = 0.3;
 
-interface Waiting extends GateRequest {
+interface QueuedRequest extends GateRequest {
   /** When it is refused, so that another server gets the chance. */
   readonly leaveAt: Millis;
 }
@@ -73,7 +80,7 @@
  */
 export class Gate {
   private readonly running = new Map<number, Running>();
-  private readonly queue = new Map<number, Waiting>();
+  private readonly line = new WaitingLine<QueuedRequest>();
   private readonly service = new ServiceTime();
   private readonly limit: AdaptiveLimit;
   private readonly slots: number;
@@ -90,9 +97,8 @@
     this.rules = options.rules;
     this.work = new WorkClock(now);
     this.slots = Math.max(1, Math.min(options.slots, options.rules.maxSlots));
-    const {slotPercent} = options.rules;
     this.limit = new AdaptiveLimit({
-      slots: Math.max(1, Math.floor((this.slots * slotPercent) / PERCENT)),
+      slots: this.usableSlots,
       startedAt: now,
       warmUpMs: options.rules.warmUpMs,
       adaptive: options.adaptive,
@@ -103,19 +109,19 @@
   admit(now: Millis, req: GateRequest): Admission {
     const kind = this.refusal(now, req);
     if (kind !== undefined) return {type: 'refuse', kind};
-    if (this.queue.size === 0 && this.hasSlot(now)) {
+    if (this.line.size === 0 && this.hasSlot(now)) {
       this.start(now, req);
       return {type: 'start'};
     }
-    if (this.queue.size >= this.queueBound) {
+    if (this.isTooLate(now, req)) return {type: 'refuse', kind: 'queueFull'};
+    const evicted = this.makeRoom(req);
+    if (this.line.size >= this.queueBound) {
       return {type: 'refuse', kind: 'queueFull'};
     }
-    const share = this.options.reroutesWaiting === false ? 1 : QUEUE_SHARE;
-    const patienceMs = (req.deadline - now) * share;
-    this.queue.set(req.ref, {...req, leaveAt: now + patienceMs});
+    this.line.add({...req, leaveAt: now + this.patienceMs(now, req)});
     if (req.suspect) this.suspects++;
     this.assertBounds();
-    return {type: 'queued'};
+    return {type: 'queued', evicted};
   }
 
   /** A request has left the server. */
@@ -131,9 +137,8 @@
 
   /** Takes a request out of the queue; false if it is not waiting there. */
   cancelQueued(ref: number): boolean {
-    const req = this.queue.get(ref);
+    const req = this.line.remove(ref);
     if (req === undefined) return false;
-    this.queue.delete(ref);
     if (req.suspect) this.suspects--;
     return true;
   }
@@ -141,7 +146,7 @@
   /** Refuses what has waited for too long and starts what may start; to be called every 100 ms or so. */
   advance(now: Millis): GateCommand[] {
     const commands: GateCommand[] = [];
-    for (const req of this.queue.values()) {
+    for (const req of this.line) {
       if (req.leaveAt > now) continue;
       this.cancelQueued(req.ref);
       commands.push({type: 'refuse', ref: req.ref, kind: 'queueFull'});
@@ -171,7 +176,7 @@
   /** Takes new rules; slots stay as announced. */
   configure(rules: ServiceRules): void {
     this.rules = rules;
-    this.limit.configure(rules.warmUpMs);
+    this.limit.configure(this.usableSlots, rules.warmUpMs);
   }
 
   /** The server says how many times longer than usual work takes now. */
@@ -183,7 +188,7 @@
   report(now: Millis): LoadReport {
     return {
       inFlight: this.running.size,
-      queued: this.queue.size,
+      queued: this.line.size,
       limit: this.limit.current(now),
       serviceUs: Math.round(this.service.estimateUs(this.work.at(now))),
       slowdown: this.work.slowdown,
@@ -201,8 +206,9 @@
 
   private startWaiting(now: Millis): GateCommand[] {
     const commands: GateCommand[] = [];
-    for (const req of this.queue.values()) {
-      if (!this.hasSlot(now)) break;
+    while (this.hasSlot(now)) {
+      const req = this.line.next(now + this.turnMs);
+      if (req === undefined) break;
       this.cancelQueued(req.ref);
       if (req.deadline <= now) {
         commands.push({type: 'refuse', ref: req.ref, kind: 'deadlineTooShort'});
@@ -220,18 +226,52 @@
     if (req.suspect && this.suspects > 0) return 'suspectBusy';
     if (req.deadline <= now) return 'deadlineTooShort';
     if (this.options.deadlineAware === false) return undefined;
-    const endsAt = now + this.expectedTimeMs(now);
-    if (endsAt >= req.deadline) return 'deadlineTooShort';
+    const needsWait = this.line.size > 0 || !this.hasSlot(now);
+    // A call that need not wait is run whatever the estimate says.
+    if (needsWait && this.expectedEnd(now, req) >= req.deadline) {
+      return 'deadlineTooShort';
+    }
     return undefined;
   }
 
-  // A call that need not wait is run whatever the estimate says.
-  private expectedTimeMs(now: Millis): number {
+  /** When a request that has to wait is expected to end. */
+  private expectedEnd(now: Millis, req: GateRequest): Millis {
+    const {turnMs} = this;
     const limit = this.limit.current(now);
-    const ahead = this.running.size + this.queue.size + 1 - limit;
-    if (ahead <= 0) return 0;
-    const turnMs = this.service.finishedMs * this.work.slowdown;
-    return (ahead / limit + 1) * turnMs;
+    const before = this.line.countBefore(req.priority, now + turnMs);
+    const ahead = Math.max(0, this.running.size + before + 1 - limit);
+    return now + (ahead / limit + 1) * turnMs;
+  }
+
+  // A caller that has been refused before is not refused again for being late.
+  private isTooLate(now: Millis, req: GateRequest): boolean {
+    if (this.options.deadlineAware === false || req.returning) return false;
+    return this.expectedEnd(now, req) > req.objective;
+  }
+
+  /** Takes a less urgent request out of a full queue. */
+  private makeRoom(req: GateRequest): number | undefined {
+    if (this.line.size < this.queueBound) return undefined;
+    const victim = this.line.leastUrgent(req.priority);
+    if (victim === undefined) return undefined;
+    this.cancelQueued(victim.ref);
+    return victim.ref;
+  }
+
+  private patienceMs(now: Millis, req: GateRequest): Millis {
+    if (this.options.reroutesWaiting === false) return req.deadline - now;
+    const end = req.objective > now ? req.objective : req.deadline;
+    return (end - now) * QUEUE_SHARE;
+  }
+
+  /** Expected time of one request at the server, milliseconds. */
+  private get turnMs(): Millis {
+    return expectedWorkTime(this.service.finishedMs, this.work.slowdown);
+  }
+
+  private get usableSlots(): number {
+    const share = this.rules.slotPercent / PERCENT;
+    return Math.max(1, Math.floor(this.slots * share));
   }
 
   private get queueBound(): number {
@@ -259,7 +299,7 @@
 
   private refuseQueue(kind: ErrorKind): GateCommand[] {
     const commands: GateCommand[] = [];
-    for (const ref of [...this.queue.keys()]) {
+    for (const {ref} of this.line) {
       this.cancelQueued(ref);
       commands.push({type: 'refuse', ref, kind});
     }
@@ -267,7 +307,7 @@
   }
 
   private withDrained(commands: GateCommand[]): GateCommand[] {
-    const idle = this.running.size === 0 && this.queue.size === 0;
+    const idle = this.running.size === 0 && this.line.size === 0;
     if (this.status === 'draining' && idle && !this.drainedTold) {
       this.drainedTold = true;
       commands.push({type: 'drained'});
@@ -282,9 +322,9 @@
       () => `${this.running.size} running on ${this.slots} slots`,
     );
     invariant(
-      this.queue.size <= Math.max(this.queueBound, 1),
+      this.line.size <= Math.max(this.queueBound, 1),
       'gate.queue',
-      () => `${this.queue.size} waiting, ${this.queueBound} allowed`,
+      () => `${this.line.size} waiting, ${this.queueBound} allowed`,
     );
     invariant(
       this.suspects <= 1,
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -10,6 +10,7 @@
   suspect,
   priority: 0,
   objective: 1_000,
+  returning: false,
 });
 
 function gate(slots = 2): Gate {
@@ -130,6 +131,7 @@
               deadline: now + pick,
               priority: 0,
               objective: now + pick,
+              returning: false,
               suspect,
             });
             if (told.type === 'start') running.add(now);
--- /dev/null
+++ b/packages/gate/src/waiting_line.ts
@@ -0,0 +1,74 @@
+/** Requests that wait at a gate, and whose turn is next. */
+import type {Millis} from '@goldcresthill/types';
+
+/** What decides a request's place. */
+export interface Waiting {
+  /** Names the request at its gate. */
+  readonly ref: number;
+  /** Rank of the call; 0 goes first. */
+  readonly priority: number;
+  /** Instant up to which an answer is worth its full value. */
+  readonly objective: Millis;
+}
+
+/**
+ * Those that can still be answered within their objective go first, by
+ * priority and then in order of arrival; the others follow in the same order.
+ */
+export class WaitingLine<Item extends Waiting> {
+  private readonly items = new Map<number, Item>();
+
+  add(item: Item): void {
+    this.items.set(item.ref, item);
+  }
+
+  /** Takes a request out; undefined if it does not wait. */
+  remove(ref: number): Item | undefined {
+    const item = this.items.get(ref);
+    this.items.delete(ref);
+    return item;
+  }
+
+  /** Whose turn it is, if work that starts now ends at `endsAt`. */
+  next(endsAt: Millis): Item | undefined {
+    let best: Item | undefined;
+    for (const item of this.items.values()) {
+      if (best === undefined || goesBefore(item, best, endsAt)) best = item;
+    }
+    return best;
+  }
+
+  /** Requests that go before a new one of a priority, if those that are late anyway do not. */
+  countBefore(priority: number, endsAt: Millis): number {
+    let count = 0;
+    for (const item of this.items.values()) {
+      if (item.priority <= priority && item.objective >= endsAt) count++;
+    }
+    return count;
+  }
+
+  /** The request that gives way to one of a priority, if any does. */
+  leastUrgent(priority: number): Item | undefined {
+    let last: Item | undefined;
+    for (const item of this.items.values()) {
+      if (item.priority <= priority) continue;
+      if (last === undefined || item.priority >= last.priority) last = item;
+    }
+    return last;
+  }
+
+  get size(): number {
+    return this.items.size;
+  }
+
+  [Symbol.iterator](): IterableIterator<Item> {
+    return [...this.items.values()][Symbol.iterator]();
+  }
+}
+
+function goesBefore(a: Waiting, b: Waiting, endsAt: Millis): boolean {
+  const aInTime = a.objective >= endsAt;
+  const bInTime = b.objective >= endsAt;
+  if (aInTime !== bInTime) return aInTime;
+  return a.priority < b.priority;
+}
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -142,6 +142,7 @@
       deadline: now + count(req, HEADERS.deadlineMs),
       priority: count(req, HEADERS.priority),
       objective: now + count(req, HEADERS.objectiveMs),
+      returning: header(req, HEADERS.returning) === '1',
       suspect: header(req, HEADERS.suspect) === '1',
       reply: result => writeResult(res, attempt, result),
     };
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -55,6 +55,8 @@
   readonly priority: number;
   /** Instant up to which an answer is worth its full value. */
   readonly objective: Millis;
+  /** The caller was refused before. */
+  readonly returning: boolean;
   readonly suspect: boolean;
   readonly reply: (result: AttemptResult) => void;
 }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -122,16 +122,20 @@
     const ref = this.refs++;
     const entry = {req, arrivedAt: now, exchange: undefined, started: false};
     this.requests.set(ref, entry);
-    const {deadline, suspect, priority, objective} = req;
+    const {deadline, suspect, priority, objective, returning} = req;
     const admission = this.gate.admit(now, {
       ref,
       deadline,
       suspect,
       priority,
       objective,
+      returning,
     });
     if (admission.type === 'start') this.start(ref, entry);
     if (admission.type === 'refuse') this.refuse(ref, admission.kind);
+    if (admission.type === 'queued' && admission.evicted !== undefined) {
+      this.refuse(admission.evicted, 'queueFull');
+    }
     return () => this.cancel(ref);
   }
 
--- a/packages/node/src/gateway/call_reader.ts
+++ b/packages/node/src/gateway/call_reader.ts
@@ -19,6 +19,8 @@
   readonly priority: number;
   /** Time within which an answer is worth its full value, milliseconds. */
   readonly objectiveMs: number;
+  /** The caller was refused before. */
+  readonly returning: boolean;
 }
 
 const SERVICE_NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
@@ -65,6 +67,7 @@
     repeatable: isRepeatable(req, rules),
     priority: 0,
     objectiveMs: deadlineMs,
+    returning: false,
   };
 }
 
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -83,6 +83,7 @@
     [HEADERS.objectiveMs]: String(Math.round(attempt.objectiveMs)),
   };
   if (!info.repeatable) headers[HEADERS.once] = '1';
+  if (info.returning) headers[HEADERS.returning] = '1';
   if (attempt.suspect) headers[HEADERS.suspect] = '1';
   const {method, path, body, maxBufferedBytes} = call;
   const exchange = new HttpExchange(
--- a/packages/node/src/gateway/gate_sender.ts
+++ b/packages/node/src/gateway/gate_sender.ts
@@ -69,6 +69,7 @@
         deadline: call.info.deadline,
         priority: call.info.priority,
         objective: call.info.objective,
+        returning: call.info.returning,
         suspect,
         reply: done,
       },
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -319,6 +319,7 @@
       maxRuns: head.maxRuns,
       priority: head.priority,
       objective: startedAt + head.objectiveMs,
+      returning: head.returning,
     };
     const headers = this.options.callers.forwardedHeaders(req);
     const {maxBufferedBytes} = router.currentRules;
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -12,6 +12,8 @@
   priority: 'gh-priority',
   /** Milliseconds left until the latency objective has passed. */
   objectiveMs: 'gh-objective-ms',
+  /** The caller was refused before. */
+  returning: 'gh-returning',
   idempotencyKey: 'idempotency-key',
 
   /** Between gateway and gate. */
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -2,3 +2,4 @@
 export {RouteTable} from './route_table';
 export {drawService} from './weighted_draw';
 export type {Route, WeightedService} from './route';
+export {CallerPatience} from './caller_patience';
--- a/packages/routing/src/expected_time.ts
+++ b/packages/routing/src/expected_time.ts
@@ -1,4 +1,5 @@
 /** Policy that takes the server with the shortest expected time. */
+import {expectedWorkTime} from '@goldcresthill/types';
 import type {Micros, Millis} from '@goldcresthill/types';
 import type {Choice, PolicyContext} from './routing_policy';
 import {RoutingPolicy} from './routing_policy';
@@ -45,6 +46,7 @@
 const MAX_SCORED = 32;
 /** Servers within this share of the best score are drawn from at random. */
 const TIE_SHARE = 0.02;
+const MICROS_PER_MILLI = 1_000;
 const REASON = 'shortest expected time';
 
 /** Expected time: network, wait for a slot, and time at the server. */
@@ -100,7 +102,9 @@
   }
 
   private serviceUs(view: ServerView, context: PolicyContext): Micros {
-    return this.usualUs(view, context) * this.slowdown(view, context.now);
+    const usualMs = this.usualUs(view, context) / MICROS_PER_MILLI;
+    const slowdown = this.slowdown(view, context.now);
+    return expectedWorkTime(usualMs, slowdown) * MICROS_PER_MILLI;
   }
 
   // Neighbours come and go, so that an old figure says little.
--- a/packages/trials/src/call/call_world.ts
+++ b/packages/trials/src/call/call_world.ts
@@ -202,6 +202,7 @@
         depth: 1,
         priority: 0,
         objective: node.timers.now() + DEADLINE_MS,
+        returning: false,
       },
       method: request.once ? 'POST' : 'GET',
       path: `/${request.id}`,
--- a/packages/trials/src/call/gateway_links.ts
+++ b/packages/trials/src/call/gateway_links.ts
@@ -136,6 +136,7 @@
       deadline: info.deadline,
       priority: info.priority,
       objective: info.objective,
+      returning: info.returning,
       suspect,
       reply,
     };
--- a/packages/types/src/call.ts
+++ b/packages/types/src/call.ts
@@ -39,4 +39,6 @@
   readonly priority: number;
   /** Instant up to which an answer is worth its full value to the caller. */
   readonly objective: Millis;
+  /** The caller was refused before. */
+  readonly returning: boolean;
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,3 +5,4 @@
 export {serverId} from './server';
 export {DEFAULT_SERVICE_RULES} from './service';
 export {InvariantError, invariant, invariantCount} from './invariant';
+export {expectedWorkTime} from './work_time';
