--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -193,7 +193,7 @@
     if (result.type === 'answered') {
       this.options.events.onCompleted(() => fingerprintOf(req));
     } else {
-      this.logRefusal(req, result.kind);
+      this.logRefusal(req, result);
     }
     req.reply(result);
   }
@@ -211,13 +211,23 @@
     }
   }
 
-  private logRefusal(req: AttemptRequest, kind: ErrorKind): void {
-    const {callId, service} = req;
+  private logRefusal(
+    req: AttemptRequest,
+    result: AttemptResult & {type: 'refused' | 'broke'},
+  ): void {
+    const {callId, service, priority, returning} = req;
+    const now = this.options.timers.now();
     this.options.events.onDecision({
       what: 'gate',
       callId,
       service,
-      reason: kind,
+      reason: result.kind,
+      priority,
+      returning,
+      objectiveLeftMs: Math.round(req.objective - now),
+      deadlineLeftMs: Math.round(req.deadline - now),
+      load: result.report,
+      gateUs: result.gateUs,
     });
   }
 
--- a/packages/routes/src/index.ts
+++ b/packages/routes/src/index.ts
@@ -3,3 +3,4 @@
 export {drawService} from './weighted_draw';
 export type {Route, WeightedService} from './route';
 export {CallerPatience} from './caller_patience';
+export type {CallerHistory} from './caller_patience';
