--- /dev/null
+++ b/packages/gate/src/call_origins_test.ts
@@ -0,0 +1,43 @@
+import {describe, expect, it} from 'vitest';
+import {CallOrigins} from './call_origins';
+
+function observe(
+  origins: CallOrigins,
+  route: string,
+  from: readonly string[],
+  times: number,
+): boolean {
+  let nested = false;
+  for (let i = 0; i < times; i++) {
+    nested = origins.observe(route, from[i % from.length] ?? '');
+  }
+  return nested;
+}
+
+describe('CallOrigins', () => {
+  it('takes a route that one service alone uses for calls of its servers', () => {
+    const origins = new CallOrigins();
+    expect(observe(origins, 'orders', ['a', 'a', 'a', 'b'], 100)).toBe(false);
+    expect(observe(origins, 'credentials', ['a'], 39)).toBe(false);
+    expect(observe(origins, 'credentials', ['a'], 1)).toBe(true);
+    expect(observe(origins, 'credentials', ['b'], 1)).toBe(false);
+  });
+
+  it('tells nothing where all VMs have the same service', () => {
+    const origins = new CallOrigins();
+    expect(observe(origins, 'orders', ['a'], 1_000)).toBe(false);
+  });
+
+  it('tells nothing of requests without a route or an origin', () => {
+    const origins = new CallOrigins();
+    observe(origins, 'orders', ['a', 'b'], 100);
+    expect(observe(origins, '', ['a'], 100)).toBe(false);
+    expect(observe(origins, 'other', [''], 100)).toBe(false);
+  });
+
+  it('follows a change of who uses a route', () => {
+    const origins = new CallOrigins();
+    observe(origins, 'route', ['a', 'b'], 100);
+    expect(observe(origins, 'route', ['a'], 3_000)).toBe(true);
+  });
+});
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -12,3 +12,4 @@
 export {ServiceTime} from './service_time';
 export {AnnouncementOrder} from './announcement_order';
 export type {AnnouncementMark} from './announcement_order';
+export {CallOrigins} from './call_origins';
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -140,6 +140,8 @@
       headers: toServer(req, service),
       body,
       deadline: now + count(req, HEADERS.deadlineMs),
+      route: header(req, HEADERS.route) ?? '',
+      origin: header(req, HEADERS.origin) ?? '',
       priority: count(req, HEADERS.priority),
       objective: now + count(req, HEADERS.objectiveMs),
       returning: header(req, HEADERS.returning) === '1',
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -1,7 +1,7 @@
 /** Task that owns the servers of this VM and the ledger of attempts. */
 import {AttemptLedger} from '@goldcresthill/attempts';
 import type {ErrorKind} from '@goldcresthill/errors';
-import {AnnouncementOrder} from '@goldcresthill/gate';
+import {AnnouncementOrder, CallOrigins} from '@goldcresthill/gate';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {ServerLoadReport} from '@goldcresthill/peers';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
@@ -49,6 +49,7 @@
   private readonly links = new Map<string, ServerLink>();
   private readonly ledger: AttemptLedger<KeptAnswer>;
   private readonly order = new AnnouncementOrder();
+  private readonly origins = new CallOrigins();
   private readonly timer: Cancel;
   private rules: ReadonlyMap<string, ServiceRules> = new Map();
   private drainedServices = new Set<string>();
@@ -166,7 +167,13 @@
       });
       return () => undefined;
     }
-    return link.attempt(req);
+    return link.attempt(this.withUrgency(req));
+  }
+
+  // Without the calls of a request that runs elsewhere, what it has done is lost.
+  private withUrgency(req: AttemptRequest): AttemptRequest {
+    const nested = this.origins.observe(req.route, req.origin);
+    return nested ? {...req, priority: 0, objective: req.deadline} : req;
   }
 
   private register(req: AttemptRequest): ErrorKind | undefined {
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -51,6 +51,8 @@
   readonly headers: HeaderMap;
   readonly body: Buffer;
   readonly deadline: Millis;
+  readonly route: string;
+  readonly origin: string;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Instant up to which an answer is worth its full value. */
--- a/packages/node/src/gateway/call_reader.ts
+++ b/packages/node/src/gateway/call_reader.ts
@@ -15,6 +15,10 @@
   readonly repeatable: boolean;
   /** Most servers that may run the call; no bound if undefined. */
   readonly maxRuns?: number;
+  /** Route that the call was sent on; empty without routes. */
+  readonly route: string;
+  /** Service of the VM where the call began; empty if unknown. */
+  readonly origin: string;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Time within which an answer is worth its full value, milliseconds. */
@@ -65,6 +69,8 @@
     retriesLeft: Math.min(retries, rules.maxRetries),
     depth: depth + 1,
     repeatable: isRepeatable(req, rules),
+    route: '',
+    origin: '',
     priority: 0,
     objectiveMs: deadlineMs,
     returning: false,
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -83,6 +83,8 @@
     [HEADERS.objectiveMs]: String(Math.round(attempt.objectiveMs)),
   };
   if (!info.repeatable) headers[HEADERS.once] = '1';
+  if (info.route !== '') headers[HEADERS.route] = info.route;
+  if (info.origin !== '') headers[HEADERS.origin] = info.origin;
   if (info.returning) headers[HEADERS.returning] = '1';
   if (attempt.suspect) headers[HEADERS.suspect] = '1';
   const {method, path, body, maxBufferedBytes} = call;
--- a/packages/node/src/gateway/gate_sender.ts
+++ b/packages/node/src/gateway/gate_sender.ts
@@ -67,6 +67,8 @@
         headers: localHeaders(call, retriesLeft),
         body: call.body,
         deadline: call.info.deadline,
+        route: call.info.route,
+        origin: call.info.origin,
         priority: call.info.priority,
         objective: call.info.objective,
         returning: call.info.returning,
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -317,6 +317,8 @@
       retriesLeft: head.retriesLeft,
       depth: head.depth,
       maxRuns: head.maxRuns,
+      route: head.route,
+      origin: head.origin,
       priority: head.priority,
       objective: startedAt + head.objectiveMs,
       returning: head.returning,
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -9,6 +9,10 @@
   deadlineMs: 'gh-deadline-ms',
   retriesLeft: 'gh-retries-left',
   depth: 'gh-depth',
+  /** Route that the call was sent on. */
+  route: 'gh-route',
+  /** Service of the VM where the call began. */
+  origin: 'gh-origin',
   priority: 'gh-priority',
   /** Milliseconds left until the latency objective has passed. */
   objectiveMs: 'gh-objective-ms',
--- a/packages/routes/src/caller_patience.ts
+++ b/packages/routes/src/caller_patience.ts
@@ -22,14 +22,12 @@
 export type CallerHistory =
   | {readonly type: 'new'}
   /** The caller has been refused before. */
-  | {readonly type: 'returning'; readonly waitedMs: Millis}
-  /** A server calls for a request that it runs; its time is what that request has left. */
-  | {readonly type: 'nested'};
+  | {readonly type: 'returning'; readonly waitedMs: Millis};
 
 /**
  * Clients of a route wait for the same time in all, and name what is left of
  * it. What is missing to the longest time named is what they have waited.
- * Calls of servers each name another time.
+ * Calls of servers may each name another time, which tells nothing.
  */
 export class CallerPatience {
   private readonly routes = new Map<string, RouteMemory>();
@@ -42,9 +40,9 @@
     memory.longest = Math.max(memory.longest, leftMs);
     memory.newShare += WEIGHT_OF_NEWEST * ((isNew ? 1 : 0) - memory.newShare);
     memory.requests++;
-    if (memory.requests < MIN_REQUESTS) return {type: 'new'};
-    if (memory.newShare < MIN_NEW_SHARE) return {type: 'nested'};
-    return isNew ? {type: 'new'} : {type: 'returning', waitedMs};
+    const tells =
+      memory.requests >= MIN_REQUESTS && memory.newShare >= MIN_NEW_SHARE;
+    return isNew || !tells ? {type: 'new'} : {type: 'returning', waitedMs};
   }
 
   private memoryOf(route: string): RouteMemory {
--- a/packages/trials/src/call/call_world.ts
+++ b/packages/trials/src/call/call_world.ts
@@ -200,6 +200,8 @@
         deadline: node.timers.now() + DEADLINE_MS,
         retriesLeft: RULES.maxRetries,
         depth: 1,
+        route: '',
+        origin: '',
         priority: 0,
         objective: node.timers.now() + DEADLINE_MS,
         returning: false,
--- a/packages/trials/src/call/gateway_links.ts
+++ b/packages/trials/src/call/gateway_links.ts
@@ -134,6 +134,8 @@
       headers,
       body,
       deadline: info.deadline,
+      route: info.route,
+      origin: info.origin,
       priority: info.priority,
       objective: info.objective,
       returning: info.returning,
--- a/packages/types/src/call.ts
+++ b/packages/types/src/call.ts
@@ -35,6 +35,10 @@
   readonly depth: number;
   /** Most servers that may run the call; no bound if undefined. */
   readonly maxRuns?: number;
+  /** Route that the call was sent on; empty without routes. */
+  readonly route: string;
+  /** Service of the VM where the call began; empty if unknown. */
+  readonly origin: string;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Instant up to which an answer is worth its full value to the caller. */
