--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -252,7 +252,7 @@
   /** Takes a less urgent request out of a full queue. */
   private makeRoom(req: GateRequest): number | undefined {
     if (this.line.size < this.queueBound) return undefined;
-    const victim = this.line.leastUrgent(req.priority);
+    const victim = this.line.leastUrgent(req);
     if (victim === undefined) return undefined;
     this.cancelQueued(victim.ref);
     return victim.ref;
--- a/packages/gate/src/waiting_line.ts
+++ b/packages/gate/src/waiting_line.ts
@@ -9,11 +9,14 @@
   readonly priority: number;
   /** Instant up to which an answer is worth its full value. */
   readonly objective: Millis;
+  /** The caller was refused before. */
+  readonly returning: boolean;
 }
 
 /**
  * Those that can still be answered within their objective go first, by
- * priority and then in order of arrival; the others follow in the same order.
+ * priority, callers that were refused before ahead of new ones, and then in
+ * order of arrival; the others follow in the same order.
  */
 export class WaitingLine<Item extends Waiting> {
   private readonly items = new Map<number, Item>();
@@ -47,12 +50,12 @@
     return count;
   }
 
-  /** The request that gives way to one of a priority, if any does. */
-  leastUrgent(priority: number): Item | undefined {
+  /** The request that gives way to another, if any does: the last of the least urgent ones. */
+  leastUrgent(other: Waiting): Item | undefined {
     let last: Item | undefined;
     for (const item of this.items.values()) {
-      if (item.priority <= priority) continue;
-      if (last === undefined || item.priority >= last.priority) last = item;
+      if (!givesWay(item, other)) continue;
+      if (last === undefined || !givesWay(last, item)) last = item;
     }
     return last;
   }
@@ -66,9 +69,15 @@
   }
 }
 
+function givesWay(item: Waiting, other: Waiting): boolean {
+  if (item.priority !== other.priority) return item.priority > other.priority;
+  return other.returning && !item.returning;
+}
+
 function goesBefore(a: Waiting, b: Waiting, endsAt: Millis): boolean {
   const aInTime = a.objective >= endsAt;
   const bInTime = b.objective >= endsAt;
   if (aInTime !== bInTime) return aInTime;
-  return a.priority < b.priority;
+  if (a.priority !== b.priority) return a.priority < b.priority;
+  return a.returning && !b.returning;
 }
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -36,7 +36,7 @@
 export class Logger {
   private readonly winston: winston.Logger;
   private readonly sink: BoundedSink;
-  private readonly decisionPercent: number;
+  private decisionPercent: number;
   private readonly maxQueued: number;
   private readonly random: () => number;
   private queue: LogFields[] = [];
@@ -75,6 +75,12 @@
     this.winston.debug(event, fields);
   }
 
+  /** Takes another level and share of decisions from now on. */
+  configure(level: LogLevel, decisionPercent: number): void {
+    this.winston.level = level;
+    this.decisionPercent = decisionPercent;
+  }
+
   /** Whether the decisions of the next call are to be logged. */
   sampleDecision(): boolean {
     if (this.decisionPercent >= PERCENT) return true;
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -72,6 +72,7 @@
   private deadlineTimer: Cancel | undefined;
   private hedgeTimer: Cancel | undefined;
   private ended = false;
+  private timedOut = false;
 
   constructor(
     private readonly call: OutgoingCall,
@@ -91,9 +92,10 @@
 
   start(): void {
     const left = this.call.info.deadline - this.env.timers.now();
-    this.deadlineTimer = this.env.timers.after(left, () =>
-      this.event({type: 'deadline'}),
-    );
+    this.deadlineTimer = this.env.timers.after(left, () => {
+      this.timedOut = true;
+      this.event({type: 'deadline'});
+    });
     this.env.router.recordCall();
     this.event({type: 'begin'});
     const hedgeAfter = this.env.router.hedgeAfterMs;
@@ -294,7 +296,7 @@
     const entry = this.attempts.get(attempt);
     if (entry === undefined) return;
     entry.silenceTimer?.();
-    this.settle(entry, 'cancelled');
+    this.settle(entry, this.timedOut ? 'timedOut' : 'cancelled');
     entry.handle?.cancel();
   }
 
--- a/packages/node/src/peers/peer_task.ts
+++ b/packages/node/src/peers/peer_task.ts
@@ -23,6 +23,8 @@
   readonly onNews: (news: MemberNews) => void;
   /** Server processes of this VM leave, as an earlier process of this node had told. */
   readonly onLeaving: (instances: readonly string[]) => void;
+  /** A node is gone, and what the store holds of it is for this one to remove. */
+  readonly onForgotten: (address: NodeAddress) => void;
   /** Another node has a newer configuration. */
   readonly onNewerConfig: (holder: NodeAddress) => void;
   readonly onFault: (err: unknown) => void;
@@ -121,7 +123,9 @@
   private tick(): void {
     const {timers, loads} = this.options;
     const now = timers.now();
-    if (this.table.advance(now)) this.tellMembers();
+    const {changed, forgotten} = this.table.advance(now);
+    if (changed) this.tellMembers();
+    forgotten.forEach(address => this.options.events.onForgotten(address));
     const current = loads();
     const targets = this.table.targets(now);
     if (!this.broadcast.isDue(now, current[0]?.report, targets.length)) return;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -73,6 +73,7 @@
   private readonly budget: BodyBudget;
   private leaving = false;
   private fetching = false;
+  private broken = 0;
   private markRecalled: () => void = () => undefined;
   /** Resolves once it is known which servers have left before this process started. */
   private readonly recalled = new Promise<void>(done => {
@@ -124,6 +125,22 @@
     this.gate.post({type: 'announce', announcement});
   }
 
+  get configVersion(): number {
+    return this.config.version;
+  }
+
+  get peerCount(): number {
+    return this.peers.peerCount;
+  }
+
+  get storeCalls(): {made: number; failed: number} {
+    return this.store.counts;
+  }
+
+  get invariantsBroken(): number {
+    return this.broken;
+  }
+
   /** Whether callers may send to this node. */
   get isReady(): boolean {
     return !this.leaving && this.config.current !== undefined;
@@ -263,6 +280,10 @@
           this.gateway.post({type: 'loads', nodeId, loads}),
         onNews: news => this.onNews(news),
         onLeaving: instances => this.takeLeaving(instances),
+        onForgotten: lost => {
+          this.options.logger.info('nodeForgotten', {nodeId: lost.nodeId});
+          void this.presence.removeDead(lost);
+        },
         onNewerConfig: holder => void this.fetchNewer(holder),
         onFault: err => this.onFault(err),
       },
@@ -384,6 +405,7 @@
 
   private onFault(err: unknown): void {
     const broken = err instanceof InvariantError;
+    if (broken) this.broken++;
     const detail = err instanceof Error ? err.message : String(err);
     this.options.logger.error(broken ? 'invariantBroken' : 'fault', {detail});
   }
--- a/packages/peers/src/peer_table.ts
+++ b/packages/peers/src/peer_table.ts
@@ -47,6 +47,14 @@
   readonly stale: boolean;
 }
 
+/** What the passing of time has changed. */
+export interface Passing {
+  /** The list of nodes is another one. */
+  readonly changed: boolean;
+  /** Nodes that are gone and whose entries in the store this node is to remove. */
+  readonly forgotten: readonly NodeAddress[];
+}
+
 const NOTHING: PeerChange = {members: false, isNew: false, stale: false};
 const STALE: PeerChange = {members: false, isNew: false, stale: true};
 
@@ -72,20 +80,31 @@
       : this.hearLoad(now, datagram);
   }
 
-  /** Marks nodes that have fallen silent; true if one has changed. */
-  advance(now: Millis): boolean {
+  /** Marks nodes that have fallen silent. */
+  advance(now: Millis): Passing {
     let changed = false;
+    const known = this.peers.size;
+    const forgotten: NodeAddress[] = [];
     for (const [nodeId, peer] of this.peers) {
       const silentMs = now - peer.heardAt;
       if (silentMs > (this.options.forgetMs ?? DEFAULT_FORGET_MS)) {
         this.peers.delete(nodeId);
+        forgotten.push(peer.address);
         changed = true;
       } else if (!peer.suspect && silentMs > this.suspectMs) {
         peer.suspect = true;
         changed = true;
       }
     }
-    return changed;
+    return {changed, forgotten: this.isSweeper(known) ? forgotten : []};
+  }
+
+  // One node removes what the store holds of lost nodes, and only while it hears most others.
+  private isSweeper(known: number): boolean {
+    const heard = [...this.peers.values()].filter(peer => !peer.suspect);
+    if (heard.length * 2 < known) return false;
+    const {nodeId} = this.options.self;
+    return heard.every(peer => nodeId < peer.address.nodeId);
   }
 
   /** All nodes with their servers, as gateways take them. */
--- a/packages/peers/src/peer_table_test.ts
+++ b/packages/peers/src/peer_table_test.ts
@@ -97,8 +97,8 @@
   it('gives a silent node no work until it is heard again', () => {
     const peers = table();
     peers.hear(0, hello('b', 1));
-    expect(peers.advance(1_000)).toBe(false);
-    expect(peers.advance(2_000)).toBe(true);
+    expect(peers.advance(1_000).changed).toBe(false);
+    expect(peers.advance(2_000).changed).toBe(true);
     expect(peers.records()).toMatchObject([{status: 'suspect'}]);
     expect(peers.hear(2_100, load('b', 2)).members).toBe(true);
     expect(peers.records()).toMatchObject([{status: 'alive'}]);
@@ -111,6 +111,19 @@
     expect(peers.size).toBe(0);
   });
 
+  it('has one node remove the entries of lost nodes, while it hears most others', () => {
+    const forgottenBy = (self: string, heard: readonly string[]) => {
+      const peers = new PeerTable({self: address(self)});
+      ['b', 'c', 'lost'].forEach(id => peers.hear(0, hello(id, 1)));
+      heard.forEach(id => peers.hear(130_000, load(id, 2)));
+      const {forgotten} = peers.advance(130_001);
+      return forgotten.map(({nodeId}) => nodeId);
+    };
+    expect(forgottenBy('a', ['b', 'c'])).toEqual(['lost']);
+    expect(forgottenBy('z', ['b', 'c'])).toEqual([]);
+    expect(forgottenBy('a', [])).toEqual([]);
+  });
+
   it('takes a new process of a node, also when its clock has gone back', () => {
     const peers = table();
     peers.hear(0, hello('b', 9, {address: address('b', 50)}));
--- a/packages/routing/src/server_view.ts
+++ b/packages/routing/src/server_view.ts
@@ -82,6 +82,11 @@
   succeed(error: boolean): void {
     this.failures = 0;
     this.setAsideUntil = -Infinity;
+    this.noteError(error);
+  }
+
+  /** Moves the share of errors. */
+  noteError(error: boolean): void {
     this.errorShare += ERROR_WEIGHT * ((error ? 1 : 0) - this.errorShare);
   }
 
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -66,7 +66,14 @@
   /** Time the exchange spent at the gate, microseconds. */
   readonly atGateUs: Micros | undefined;
   readonly outcome:
-    'answered' | 'serverError' | 'refused' | 'failed' | 'cancelled';
+    | 'answered'
+    | 'serverError'
+    | 'refused'
+    | 'failed'
+    /** Given up for another reason than the server. */
+    | 'cancelled'
+    /** No answer until the deadline. */
+    | 'timedOut';
 }
 
 /** Hedged attempts that may be made at once. */
@@ -77,6 +84,9 @@
 const HEDGE_ERROR_SHARE = 0.05;
 /** When more than this share is set aside, nothing is. */
 const PANIC_SHARE = 0.5;
+/** An attempt without an answer after this many times the median is held against its server. */
+const HUNG_RATIO = 4;
+const MICROS_PER_MILLI = 1_000;
 const DEFAULT_MEDIAN_US = 1_000;
 const MEDIAN_QUANTILE = 50;
 
@@ -248,6 +258,12 @@
           this.median.observe(result.report.serviceUs);
         }
         return;
+      case 'timedOut':
+        // Work of many times the usual length is the exception; a server that hangs is not.
+        if (result.elapsedMs * MICROS_PER_MILLI > HUNG_RATIO * this.medianUs) {
+          view.noteError(true);
+        }
+        return;
       case 'failed':
         view.fail(now);
         return;
