--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -36,6 +36,8 @@
   readonly server: ServerInterface;
   /** Time without an announcement after which a server is taken for gone, milliseconds. */
   readonly announceTtlMs?: number;
+  /** Time for which outcomes of attempts are remembered, milliseconds. */
+  readonly ledgerRetentionMs?: number;
   readonly events: GateEvents;
 }
 
@@ -59,7 +61,10 @@
 
   constructor(private readonly options: GateTaskOptions) {
     super();
-    this.ledger = new AttemptLedger({incarnation: options.incarnation});
+    this.ledger = new AttemptLedger({
+      incarnation: options.incarnation,
+      retentionMs: options.ledgerRetentionMs,
+    });
     this.timer = options.timers.every(TICK_MS, () => this.post({type: 'tick'}));
   }
 
--- a/packages/node/src/gateway/decision_log.ts
+++ b/packages/node/src/gateway/decision_log.ts
@@ -4,13 +4,17 @@
 /** A decision with its reason. */
 export type Decision = Readonly<Record<string, unknown>>;
 
-const MAX_CALLS = 2_000;
+const DEFAULT_MAX_CALLS = 2_000;
 
 /** Keeps the decisions of the newest calls. */
 export class DecisionLog {
   private readonly calls = new Map<string, Decision[]>();
 
-  constructor(private readonly logger: Logger) {}
+  /** `maxCalls` 0 keeps nothing but log lines. */
+  constructor(
+    private readonly logger: Logger,
+    private readonly maxCalls = DEFAULT_MAX_CALLS,
+  ) {}
 
   /** Whether the decisions of one more call are to be logged. */
   sample(): boolean {
@@ -19,9 +23,7 @@
 
   /** Remembers a decision, and logs it if its call is sampled. */
   add(callId: string, sampled: boolean, decision: Decision): void {
-    const known = this.calls.get(callId);
-    if (known === undefined) this.start(callId, decision);
-    else known.push(decision);
+    if (this.maxCalls > 0) this.remember(callId, decision);
     if (sampled) this.logger.decision({callId, ...decision});
   }
 
@@ -30,8 +32,14 @@
     return this.calls.get(callId);
   }
 
+  private remember(callId: string, decision: Decision): void {
+    const known = this.calls.get(callId);
+    if (known === undefined) this.start(callId, decision);
+    else known.push(decision);
+  }
+
   private start(callId: string, decision: Decision): void {
-    if (this.calls.size >= MAX_CALLS) {
+    if (this.calls.size >= this.maxCalls) {
       const oldest = this.calls.keys().next();
       if (!oldest.done) this.calls.delete(oldest.value);
     }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -212,6 +212,7 @@
     const {address, random} = this.options;
     return new ServiceRouter(this.timers.now(), {
       owner: address.nodeId,
+      domain: address.domain,
       rules,
       random,
     });
--- a/packages/node/src/peers/peer_task.ts
+++ b/packages/node/src/peers/peer_task.ts
@@ -45,7 +45,9 @@
 /** Interval at which changes of load are looked for, milliseconds. */
 const TICK_MS = 20;
 /** Interval of full news, which repeats what a lost datagram carried, milliseconds. */
-const HELLO_MS = 1_000;
+const HELLO_MS = 2_000;
+/** A hello that carries a change is told once more after this time, in case it was lost, milliseconds. */
+const HELLO_AGAIN_MS = 200;
 
 /** Owns the socket for datagrams and the table of peers. */
 export class PeerTask {
@@ -88,7 +90,12 @@
   }
 
   /** Tells all nodes of everything at once, as after a change of the servers here. */
-  tellAll(asks = false): void {
+  tellChange(): void {
+    this.tellAll();
+    this.options.timers.after(HELLO_AGAIN_MS, () => this.tellAll());
+  }
+
+  private tellAll(asks = false): void {
     const hello = this.hello(asks);
     for (const target of this.table.targets(this.options.timers.now())) {
       this.send(hello, target);
@@ -97,13 +104,13 @@
 
   /** Spreads news of crashing requests with the next datagrams. */
   spread(news: MemberNews): void {
-    if (this.news.post(this.options.timers.now(), news)) this.tellAll();
+    if (this.news.post(this.options.timers.now(), news)) this.tellChange();
   }
 
   /** Tells the others that this node takes no more work. */
   leave(): void {
     this.leaving = true;
-    this.tellAll();
+    this.tellChange();
   }
 
   get peerCount(): number {
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -48,6 +48,10 @@
 /** Time kept for closing connections before the grace period ends, milliseconds. */
 const CLOSING_MS = 500;
 const POLL_MS = 20;
+/** Decisions are in the log only, as memory is dear here. */
+const REMEMBERED_CALLS = 0;
+/** Above the longest deadline of a call several times over, milliseconds. */
+const LEDGER_RETENTION_MS = 30_000;
 /** Longest wait for the store before a leaving is acknowledged all the same; a report is answered within a second. */
 const PERSIST_MS = 400;
 /** Longest wait for what an earlier process of this node knew, milliseconds. */
@@ -218,6 +222,7 @@
       connect,
       server,
       announceTtlMs,
+      ledgerRetentionMs: LEDGER_RETENTION_MS,
       nodeId: this.address.nodeId,
       incarnation: this.address.bootId,
       events: {
@@ -244,7 +249,7 @@
       gate: this.gate,
       store: this.store,
       budget: this.budget,
-      decisions: new DecisionLog(this.options.logger),
+      decisions: new DecisionLog(this.options.logger, REMEMBERED_CALLS),
       metrics,
       random: random ?? Math.random,
       // News of a death is with the others within a datagram's time.
@@ -365,7 +370,7 @@
     const summary = servers.map(s => `${s.service}:${s.instance}:${s.state}`);
     this.options.logger.info('servers', {servers: summary});
     this.tellMembers();
-    this.peers.tellAll();
+    this.peers.tellChange();
   }
 
   private tellMembers(): void {
--- a/packages/routing/src/expected_time.ts
+++ b/packages/routing/src/expected_time.ts
@@ -94,13 +94,20 @@
     const load = view.own + this.others(view, context.now, othersMean);
     const wait = Math.max(0, (load + 1 - limit) / limit) * service;
     const crowding = UTILISATION_WEIGHT * service * Math.min(1, load / limit);
-    const network = this.mechanisms.locality ? view.networkUs : 0;
+    const network = this.networkUs(view, context);
     const errors = this.mechanisms.errors
       ? ERROR_WEIGHT * view.errorShare * context.medianUs
       : 0;
     return network + service + wait + crowding + errors;
   }
 
+  private networkUs(view: ServerView, context: PolicyContext): Micros {
+    if (!this.mechanisms.locality) return 0;
+    const {domain, crossDomainShare = 0, medianUs} = context;
+    const isFar = domain !== undefined && view.domain !== domain;
+    return view.networkUs + (isFar ? crossDomainShare * medianUs : 0);
+  }
+
   private serviceUs(view: ServerView, context: PolicyContext): Micros {
     const usualMs = this.usualUs(view, context) / MICROS_PER_MILLI;
     const slowdown = this.slowdown(view, context.now);
--- a/packages/routing/src/routing_policy.ts
+++ b/packages/routing/src/routing_policy.ts
@@ -11,6 +11,10 @@
   readonly random: Random;
   /** Median time at the servers of this service. */
   readonly medianUs: Micros;
+  /** Failure domain of the gateway. */
+  readonly domain?: string;
+  /** Share of the median time by which a server of another domain must be better. */
+  readonly crossDomainShare?: number;
   /** Whether the scores of all candidates are wanted. */
   readonly explain?: boolean;
 }
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -31,6 +31,8 @@
 export interface RouterOptions {
   /** Node identity of the gateway. */
   readonly owner: string;
+  /** Failure domain of the gateway. */
+  readonly domain?: string;
   readonly rules: ServiceRules;
   readonly random: Random;
   /** Replaces the policy of the rules, in trials. */
@@ -88,6 +90,7 @@
 const HUNG_RATIO = 4;
 const MICROS_PER_MILLI = 1_000;
 const DEFAULT_MEDIAN_US = 1_000;
+const PERCENT = 100;
 const MEDIAN_QUANTILE = 50;
 
 /** Views of all servers of a service, and the budgets that go with them. */
@@ -166,6 +169,8 @@
       now,
       random: this.options.random,
       medianUs: this.medianUs,
+      domain: this.options.domain,
+      crossDomainShare: this.rules.crossDomainPercent / PERCENT,
       explain,
     };
     const choice = this.policy.choose(candidates, context);
--- a/packages/tickets/src/ticket.ts
+++ b/packages/tickets/src/ticket.ts
@@ -58,6 +58,7 @@
   probe_bytes_per_second: fields
     .integer(0, 10_000_000)
     .default(D.probeBytesPerSecond),
+  cross_domain_percent: fields.decimal(0, 1_000).default(D.crossDomainPercent),
   queue_per_slot: fields.decimal(0, 100).default(D.queuePerSlot),
   max_slots: fields.integer(1, 10_000).default(D.maxSlots),
   slot_percent: fields.decimal(1, 100).default(D.slotPercent),
--- a/packages/types/src/service.ts
+++ b/packages/types/src/service.ts
@@ -33,6 +33,8 @@
   readonly probePercent: number;
   /** Bytes per second that one node may spend on probes for this service. */
   readonly probeBytesPerSecond: number;
+  /** Time by which a server of another failure domain must be better, percent of the median time; traffic between domains costs. */
+  readonly crossDomainPercent: number;
   /** Requests that may wait at a gate, per slot of its server. */
   readonly queuePerSlot: number;
   /** Upper bound on the slots that a server may claim. */
@@ -77,6 +79,7 @@
   probesPerSecond: 5,
   probePercent: 5,
   probeBytesPerSecond: 2_000,
+  crossDomainPercent: 0,
   queuePerSlot: 100,
   maxSlots: 256,
   slotPercent: 100,
