--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -85,6 +85,7 @@
     command: options.command,
     services: [CATALOGUE, DISPATCH],
     domains: DOMAINS,
+    handlesInterrupt: options.keep !== undefined,
     onLog: line => {
       if (line.includes('"decision"')) decisionLines++;
     },
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 /** A small fleet of real processes on this machine, for the demo and experiments. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {spawn} from 'node:child_process';
+import {constants} from 'node:os';
 import type {ChildProcess} from 'node:child_process';
 import {freePorts} from '@goldcresthill/test-utils';
 import {request} from 'undici';
@@ -40,10 +41,14 @@
   readonly domains: readonly string[];
   /** Appended to the settings of each node. */
   readonly extraSettings?: string;
+  /** The owner closes the fleet on SIGINT. */
+  readonly handlesInterrupt?: boolean;
   /** Receives the log lines of all nodes. */
   readonly onLog?: (line: string) => void;
 }
 
+/** As shells report processes that a signal ended. */
+const SIGNAL_EXIT_BASE = 128;
 const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 /** As operators are advised to start nodes whose memory is bounded. */
@@ -54,8 +59,19 @@
   readonly members: FleetMember[] = [];
   platformUrl = '';
   private platform: ChildProcess | undefined;
+  private readonly children = new Set<ChildProcess>();
+  private readonly onSignal = (signal: NodeJS.Signals): void => {
+    this.children.forEach(child => child.kill('SIGKILL'));
+    process.exit(SIGNAL_EXIT_BASE + constants.signals[signal]);
+  };
 
-  constructor(private readonly options: FleetOptions) {}
+  constructor(private readonly options: FleetOptions) {
+    process.once('SIGTERM', this.onSignal);
+    // An owner that waits for an interrupt closes the fleet itself.
+    if (options.handlesInterrupt !== true) {
+      process.once('SIGINT', this.onSignal);
+    }
+  }
 
   /** Starts the stand-in platform, then all nodes and servers. */
   async start(): Promise<void> {
@@ -157,6 +173,8 @@
     ]);
     if (this.platform !== undefined) children.push(this.platform);
     await Promise.all(children.map(endProcess));
+    process.off('SIGTERM', this.onSignal);
+    process.off('SIGINT', this.onSignal);
   }
 
   private plan(): Array<{
@@ -227,6 +245,8 @@
         'inherit',
       ],
     });
+    this.children.add(child);
+    child.once('exit', () => this.children.delete(child));
     child.stdin?.end(input);
     const {onLog} = this.options;
     if (onLog !== undefined) {
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -23,6 +23,8 @@
   // The request itself is at fault.
   malformedRequest: notRun(400, false),
   badHeader: notRun(400, false),
+  headersTooLarge: notRun(431, false),
+  methodNotAllowed: notRun(405, false),
   badDeadline: notRun(400, false),
   missingService: notRun(400, false),
   unknownService: notRun(404, false),
--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -1,7 +1,11 @@
 /** HTTP listeners with the limits that every port of a node has. */
-import {createServer} from 'node:http';
+import {createServer, STATUS_CODES} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
+import {answerTo} from '@goldcresthill/errors';
+import type {ErrorKind} from '@goldcresthill/errors';
+import {HEADERS} from '@goldcresthill/protocol';
 
 /** What a listener starts from. */
 export interface ListenerOptions {
@@ -20,9 +24,6 @@
 /** Longer than a client keeps an idle connection, so that it never sends into a closing one. */
 const KEEP_ALIVE_MS = 60_000;
 const CHECK_MS = 1_000;
-const MALFORMED =
-  'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n' +
-  'gh-error-kind: malformedRequest\r\ngh-run-state: notRun\r\ngh-resend-safe: false\r\n\r\n';
 
 /** One listening port. */
 export class Listener {
@@ -44,10 +45,13 @@
     );
     this.server.maxConnections =
       options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-    this.server.on('clientError', (_err, socket) => {
-      if (socket.writable) socket.end(MALFORMED);
-      else socket.destroy();
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      const tooLarge = err.code === 'HPE_HEADER_OVERFLOW';
+      endWith(socket, tooLarge ? 'headersTooLarge' : 'malformedRequest');
     });
+    this.server.on('connect', (_req, socket) =>
+      endWith(socket, 'methodNotAllowed'),
+    );
   }
 
   /** Starts to listen; answers the port. */
@@ -77,6 +81,21 @@
   }
 }
 
+/** Answers what the HTTP library does not hand over as a request. */
+function endWith(socket: Duplex, kind: ErrorKind): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const {status, runState, resendSafe} = answerTo(kind);
+  socket.end(
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+      'connection: close\r\ncontent-length: 0\r\n' +
+      `${HEADERS.errorKind}: ${kind}\r\n${HEADERS.runState}: ${runState}\r\n` +
+      `${HEADERS.resendSafe}: ${resendSafe}\r\n\r\n`,
+  );
+}
+
 /** Reads a small JSON or text body of an operator's request. */
 export async function readText(
   req: IncomingMessage,
