One store client, and a stand-in that speaks the platform's protocol

The client in platform/ replaces the earlier HTTP adapter in all programs; the stand-in of the store speaks its objects, lists, watches and 410.

--- a/packages/cli/src/commands/node/index.ts
+++ b/packages/cli/src/commands/node/index.ts
@@ -2,7 +2,7 @@
 import {formatFaults} from '@goldcresthill/ini-document';
 import {Logger} from '@goldcresthill/logger';
 import {Node} from '@goldcresthill/node';
-import {HttpObjectStore} from '@goldcresthill/object-store';
+import {PlatformStore} from '@goldcresthill/platform';
 import {parseSettings} from '@goldcresthill/settings';
 import type {NodeSettings} from '@goldcresthill/settings';
 import {command, option, string} from 'cmd-ts';
@@ -39,7 +39,7 @@
     decisionPercent: logs.decision_percent,
     bufferedLines: logs.buffered_lines,
   });
-  const store = new HttpObjectStore({
+  const store = new PlatformStore({
     url: platform.url,
     timeoutMs: platform.timeout_ms,
   });
--- a/packages/node/src/testing/small_fleet.ts
+++ b/packages/node/src/testing/small_fleet.ts
@@ -1,7 +1,7 @@
 /** A few nodes and stand-ins in one process, on real sockets, for tests. */
 import {PassThrough} from 'node:stream';
 import {Logger} from '@goldcresthill/logger';
-import {HttpObjectStore} from '@goldcresthill/object-store';
+import {PlatformStore} from '@goldcresthill/platform';
 import {parseSettings} from '@goldcresthill/settings';
 import {
   Announcer,
@@ -187,7 +187,7 @@
       decisionPercent: 100,
     });
     const {url, timeout_ms: timeoutMs} = settings.platform;
-    const store = new HttpObjectStore({url, timeoutMs});
+    const store = new PlatformStore({url, timeoutMs});
     const node = new Node({settings, store, logger});
     await node.start();
     const member = {
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -10,3 +10,5 @@
 export {VirtualTimers} from './virtual_timers';
 export {seededRandom} from './seeded_random';
 export {freePorts} from './free_ports';
+export {SidecarServer} from './sidecar_server';
+export type {SidecarServerOptions} from './sidecar_server';
--- a/packages/test-utils/src/memory_platform.ts
+++ b/packages/test-utils/src/memory_platform.ts
@@ -8,10 +8,20 @@
 
 type Watcher = (object: StoredObject) => void;
 
+/** A change of an object, as watches tell it. */
+export interface StoreEvent {
+  readonly object: StoredObject;
+  readonly removed: boolean;
+}
+
 /** Synchronous object store; versions rise over the whole store. */
 export class MemoryPlatform {
   private readonly objects = new Map<string, StoredObject>();
   private readonly watchers = new Map<string, Set<Watcher>>();
+  private readonly listeners = new Set<() => void>();
+  private history: StoreEvent[] = [];
+  /** Changes up to this version are forgotten. */
+  private forgotten = 0;
   private version = 0;
   readonly counts = {reads: 0, writes: 0, watches: 0};
 
@@ -27,6 +37,7 @@
     const object = {path, version: ++this.version, value};
     this.objects.set(path, object);
     this.watchers.get(path)?.forEach(watcher => watcher(object));
+    this.note({object, removed: false});
     return {type: 'written', version: object.version};
   }
 
@@ -36,7 +47,9 @@
     if (current === undefined) return undefined;
     if (current.version !== condition) return {type: 'conflict'};
     this.objects.delete(path);
-    return {type: 'written', version: ++this.version};
+    const version = ++this.version;
+    this.note({object: {...current, version}, removed: true});
+    return {type: 'written', version};
   }
 
   list(prefix: string): StoredObject[] {
@@ -44,6 +57,32 @@
     return [...this.objects.values()].filter(o => o.path.startsWith(prefix));
   }
 
+  /** Version of the newest change. */
+  get revision(): number {
+    return this.version;
+  }
+
+  /** Changes under a prefix after a version; undefined if they are forgotten. */
+  eventsAfter(prefix: string, version: number): StoreEvent[] | undefined {
+    if (version < this.forgotten) return undefined;
+    return this.history.filter(
+      ({object}) => object.version > version && object.path.startsWith(prefix),
+    );
+  }
+
+  /** Calls back at each change; returns a function that ends it. */
+  onChange(listener: () => void): () => void {
+    this.counts.watches++;
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Drops the history, as a store that compacts it does. */
+  forgetHistory(): void {
+    this.forgotten = this.version;
+    this.history = [];
+  }
+
   /** Calls back at the next write of a path; returns a function that ends the watch. */
   watch(path: string, watcher: Watcher): () => void {
     this.counts.watches++;
@@ -52,4 +91,9 @@
     this.watchers.set(path, set);
     return () => set.delete(watcher);
   }
+
+  private note(event: StoreEvent): void {
+    this.history.push(event);
+    this.listeners.forEach(listener => listener());
+  }
 }
--- a/packages/test-utils/src/platform_server.ts
+++ b/packages/test-utils/src/platform_server.ts
@@ -1,8 +1,9 @@
-/** Stand-in of the platform's service over HTTP, with faults that can be switched on. */
+/** Stand-in of the platform's store over HTTP, with faults that can be switched on. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {StoredObject} from '@goldcresthill/object-store';
 import {MemoryPlatform} from './memory_platform';
 import type {WriteOutcome} from './memory_platform';
 
@@ -30,8 +31,17 @@
 ];
 const SLOW_MS = 400;
 const LATE_MS = 700;
+const PREFIX = '/v1/objects/';
+/** Objects of one page of a list. */
+const PAGE = 500;
 
-/** Serves a MemoryPlatform. `PUT /mode/NAME` switches faults. */
+interface Target {
+  readonly kind: string;
+  readonly name: string | undefined;
+  readonly query: URLSearchParams;
+}
+
+/** Serves a MemoryPlatform whose paths are `kind/name`. `PUT /mode/NAME` switches faults. */
 export class PlatformServer {
   readonly platform = new MemoryPlatform();
   mode: PlatformMode = 'up';
@@ -67,22 +77,12 @@
     if (this.mode === 'silent') return;
     if (this.mode === 'down') return send(res, 503, {});
     if (this.mode === 'slow') await pause(SLOW_MS);
-    if (url.pathname === '/list') {
-      return send(
-        res,
-        200,
-        this.platform.list(url.searchParams.get('prefix') ?? ''),
-      );
-    }
-    const path = decodeURIComponent(url.pathname.replace(/^\/objects\//, ''));
-    if (req.method === 'GET') return this.read(path, url, res);
-    this.write(
-      req.method ?? '',
-      path,
-      body,
-      Number(req.headers['if-version']),
-      res,
-    );
+    const target = targetOf(url);
+    if (target === undefined) return send(res, 404, {});
+    if (req.method !== 'GET') return this.write(req, target, body, res);
+    if (target.name !== undefined) return this.read(target, res);
+    if (target.query.has('watch')) return this.watch(target, res);
+    this.list(target, res);
   }
 
   private switchMode(url: URL, res: ServerResponse): void {
@@ -93,45 +93,67 @@
     send(res, 200, {mode});
   }
 
-  private read(path: string, url: URL, res: ServerResponse): void {
-    const object = this.platform.get(path);
-    const after = url.searchParams.get('after');
-    if (
-      after === null ||
-      (object !== undefined && object.version > Number(after))
-    ) {
-      return object === undefined ? send(res, 404, {}) : send(res, 200, object);
-    }
-    this.wait(path, Number(url.searchParams.get('wait_ms') ?? 0), res);
+  private read(target: Target, res: ServerResponse): void {
+    const object = this.platform.get(pathOf(target));
+    if (object === undefined) send(res, 404, {});
+    else send(res, 200, toWire(object));
   }
 
-  private wait(path: string, waitMs: number, res: ServerResponse): void {
-    const end = this.platform.watch(path, object => {
-      stop();
-      send(res, 200, object);
+  private list({kind, query}: Target, res: ServerResponse): void {
+    const after = query.get('after') ?? '';
+    const objects = this.platform
+      .list(`${kind}/`)
+      .filter(object => nameOf(object) > after)
+      .sort((a, b) => (nameOf(a) < nameOf(b) ? -1 : 1));
+    send(res, 200, {
+      items: objects.slice(0, PAGE).map(toWire),
+      has_more: objects.length > PAGE,
+      store_revision: this.platform.revision,
     });
-    const timer = setTimeout(() => {
-      stop();
-      res.writeHead(304).end();
-    }, waitMs);
+  }
+
+  private watch({kind, query}: Target, res: ServerResponse): void {
+    const after = Number(query.get('watch'));
+    const tell = (always: boolean): boolean => {
+      const events = this.platform.eventsAfter(`${kind}/`, after);
+      if (events === undefined) {
+        send(res, 410, {});
+        return true;
+      }
+      if (events.length === 0 && !always) return false;
+      send(res, 200, {
+        events: events.map(({object, removed}) => ({
+          object: toWire(object),
+          removed,
+        })),
+        store_revision: this.platform.revision,
+      });
+      return true;
+    };
+    if (tell(false)) return;
     const stop = (): void => {
       clearTimeout(timer);
       end();
     };
+    const end = this.platform.onChange(() => {
+      if (tell(false)) stop();
+    });
+    const waitMs = Number(query.get('wait_ms') ?? 0);
+    const timer = setTimeout(() => {
+      stop();
+      tell(true);
+    }, waitMs);
     res.on('close', stop);
   }
 
   private write(
-    method: string,
-    path: string,
+    req: IncomingMessage,
+    target: Target,
     body: string,
-    condition: number,
     res: ServerResponse,
   ): void {
     const apply = (): WriteOutcome | undefined =>
-      method === 'DELETE'
-        ? this.platform.remove(path, condition)
-        : this.platform.put(path, body, condition);
+      this.apply(req.method ?? '', target, body);
     if (this.mode === 'lateWrites') {
       setTimeout(apply, LATE_MS);
       return send(res, 503, {});
@@ -142,11 +164,61 @@
       return;
     }
     if (outcome === undefined) return send(res, 404, {});
-    if (outcome.type === 'conflict') return send(res, 409, {});
-    send(res, method === 'DELETE' ? 204 : 200, {version: outcome.version});
+    const {name} = target.name === undefined ? metadataOf(body) : target;
+    const object = this.platform.get(`${target.kind}/${name}`);
+    const status = outcome.type === 'conflict' ? 409 : 200;
+    send(res, status, object === undefined ? {} : toWire(object));
+  }
+
+  private apply(
+    method: string,
+    target: Target,
+    body: string,
+  ): WriteOutcome | undefined {
+    if (method === 'DELETE') {
+      const revision = Number(target.query.get('revision'));
+      return this.platform.remove(pathOf(target), revision);
+    }
+    const {name, revision} = metadataOf(body);
+    const value = JSON.stringify((JSON.parse(body) as {spec: unknown}).spec);
+    return this.platform.put(`${target.kind}/${name}`, value, revision ?? 0);
   }
 }
 
+function targetOf(url: URL): Target | undefined {
+  if (!url.pathname.startsWith(PREFIX)) return undefined;
+  const [kind, name] = url.pathname
+    .slice(PREFIX.length)
+    .split('/')
+    .map(decodeURIComponent);
+  if (kind === undefined || kind === '') return undefined;
+  return {kind, name, query: url.searchParams};
+}
+
+function pathOf({kind, name}: Target): string {
+  return `${kind}/${name ?? ''}`;
+}
+
+function nameOf({path}: StoredObject): string {
+  return path.slice(path.indexOf('/') + 1);
+}
+
+function metadataOf(body: string): {name: string; revision?: number} {
+  return (JSON.parse(body) as {metadata: {name: string; revision?: number}})
+    .metadata;
+}
+
+function toWire(object: StoredObject): unknown {
+  const metadata = {
+    name: nameOf(object),
+    revision: object.version,
+    created: object.version,
+    finalizers: [],
+    deleting: false,
+  };
+  return {metadata, spec: JSON.parse(object.value) as unknown, status: null};
+}
+
 async function readBody(req: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of req) chunks.push(chunk as Buffer);
@@ -155,6 +227,7 @@
 
 function send(res: ServerResponse, status: number, body: unknown): void {
   if (res.destroyed || res.writableEnded) return;
-  const text = status === 204 ? '' : JSON.stringify(body);
-  res.writeHead(status, {'content-type': 'application/json'}).end(text);
+  res
+    .writeHead(status, {'content-type': 'application/json'})
+    .end(JSON.stringify(body));
 }
