--- /dev/null
+++ b/packages/node/src/gateway/call_answerer.ts
@@ -0,0 +1,100 @@
+/** Answers the callers of a gateway, and counts what they were answered. */
+import type {ServerResponse} from 'node:http';
+import type {ErrorKind} from '@goldcresthill/errors';
+import type {Metrics} from '@goldcresthill/metrics';
+import type {Timers} from '@goldcresthill/timers';
+import type {AnswerContext} from './answer_writer';
+import type {HandledOutcome} from './call_handler';
+import type {CallerInterface} from './caller_interface';
+import type {OutgoingCall} from './gate_client';
+
+/** What answering a call takes. */
+export interface CallContext {
+  readonly res: ServerResponse;
+  readonly call: OutgoingCall;
+  readonly startedAt: number;
+}
+
+/** What an answerer starts from. */
+export interface CallAnswererOptions {
+  readonly timers: Timers;
+  readonly metrics: Metrics;
+  readonly callers: CallerInterface;
+  /** Whether connections are to be closed after their answers. */
+  readonly isClosing: () => boolean;
+  /** Time for which the answer to a call whose server died is held back, milliseconds. */
+  readonly newsHoldMs?: number;
+  readonly onFault: (err: unknown) => void;
+}
+
+const DEFAULT_NEWS_HOLD_MS = 500;
+const MICROS_PER_MILLI = 1_000;
+
+/** Writes one answer for each call. */
+export class CallAnswerer {
+  constructor(private readonly options: CallAnswererOptions) {}
+
+  answer(context: CallContext, outcome: HandledOutcome): void {
+    try {
+      this.finish(context, outcome);
+    } catch (err) {
+      // A server's headers may be such that they cannot be sent on.
+      this.options.onFault(err);
+      const {res} = context;
+      if (res.headersSent) res.destroy();
+      else this.writeError(context, 'brokenAnswer');
+    }
+  }
+
+  private finish(context: CallContext, outcome: HandledOutcome): void {
+    const {timers, metrics, callers} = this.options;
+    const {service} = context.call.info;
+    const us = (timers.now() - context.startedAt) * MICROS_PER_MILLI;
+    metrics.histogram('call_us', {service}).recordUs(us);
+    switch (outcome.type) {
+      case 'failed':
+        this.failLater(context, outcome.kind);
+        return;
+      case 'kept':
+        metrics.count('calls_total', {service, outcome: 'kept'});
+        callers.writeKept(
+          context.res,
+          this.answerContext(context),
+          outcome.answer,
+        );
+        return;
+      case 'answered': {
+        const hopUs = us - outcome.result.gateUs;
+        metrics.histogram('hop_us', {service}).recordUs(hopUs);
+        metrics.count('calls_total', {service, outcome: 'answered'});
+        const answer = this.answerContext(context, outcome.server);
+        callers.writeAnswer(context.res, answer, outcome.result);
+        return;
+      }
+    }
+  }
+
+  // The news of a server's death is to be everywhere before its caller sends the same again.
+  private failLater(context: CallContext, kind: ErrorKind): void {
+    const {timers, newsHoldMs = DEFAULT_NEWS_HOLD_MS} = this.options;
+    const holdMs = kind === 'serverDied' ? newsHoldMs : 0;
+    if (holdMs === 0) this.fail(context, kind);
+    else timers.after(holdMs, () => this.fail(context, kind));
+  }
+
+  private fail(context: CallContext, kind: ErrorKind): void {
+    const {service} = context.call.info;
+    this.options.metrics.count('calls_total', {service, outcome: kind});
+    this.writeError(context, kind);
+  }
+
+  private writeError(context: CallContext, kind: ErrorKind): void {
+    const {callers} = this.options;
+    callers.writeError(context.res, this.answerContext(context), kind);
+  }
+
+  private answerContext(context: CallContext, server?: string): AnswerContext {
+    const closing = this.options.isClosing();
+    return {callId: context.call.info.callId, server, closing};
+  }
+}
--- /dev/null
+++ b/packages/node/src/gateway/crash_news.ts
@@ -0,0 +1,38 @@
+/** Turns deaths of servers and completed requests into news for the quarantines of all nodes. */
+import type {Logger} from '@goldcresthill/logger';
+import type {MemberNews} from '@goldcresthill/membership';
+import type {Quarantine} from '@goldcresthill/quarantine';
+import type {Timers} from '@goldcresthill/timers';
+
+/** What the news is made from. */
+export interface CrashNewsOptions {
+  readonly timers: Timers;
+  readonly logger: Logger;
+  readonly quarantine: () => Quarantine;
+  /** Takes news to the gateway of this node and to the other nodes. */
+  readonly spread: (news: MemberNews) => void;
+}
+
+export class CrashNews {
+  constructor(private readonly options: CrashNewsOptions) {}
+
+  /** These requests were in flight at a server that died. */
+  serverDied(instance: string, fingerprints: readonly string[]): void {
+    const {logger, timers, spread} = this.options;
+    logger.warn('serverDied', {instance, inFlight: fingerprints.length});
+    const at = timers.wall();
+    for (const fingerprint of new Set(fingerprints)) {
+      spread({type: 'strike', fingerprint, instance, at});
+    }
+  }
+
+  /** A request has completed; that is news if it was suspected. */
+  completed(fingerprint: () => string): void {
+    const quarantine = this.options.quarantine();
+    if (quarantine.isEmpty) return;
+    const digest = fingerprint();
+    if (!quarantine.isKnown(digest)) return;
+    const at = this.options.timers.wall();
+    this.options.spread({type: 'clearance', fingerprint: digest, at});
+  }
+}
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -2,7 +2,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {OwnerAnswer} from '@goldcresthill/attempts';
 import {BalancerError} from '@goldcresthill/errors';
-import type {ErrorKind} from '@goldcresthill/errors';
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import type {ObjectStore} from '@goldcresthill/object-store';
@@ -21,12 +20,11 @@
 import {Task} from '../task';
 import type {AnswerContext} from './answer_writer';
 import type {CallHead} from './call_reader';
+import {CallAnswerer} from './call_answerer';
 import {CallHandler} from './call_handler';
 import type {CallerInterface} from './caller_interface';
-import type {HandledOutcome} from './call_handler';
 import type {DecisionLog} from './decision_log';
 import {askOwner} from './gate_client';
-import type {OutgoingCall} from './gate_client';
 import {GateLinks} from './gate_links';
 import {GateSender} from './gate_sender';
 import type {GatewayMessage} from './messages';
@@ -53,16 +51,6 @@
 }
 
 const EVICT_MS = 1_000;
-/** Time for which the answer to a call whose server died is held back unless told otherwise, milliseconds. */
-const DEFAULT_NEWS_HOLD_MS = 500;
-const MICROS_PER_MILLI = 1_000;
-
-/** What answering a call takes. */
-interface CallContext {
-  readonly res: ServerResponse;
-  readonly call: OutgoingCall;
-  readonly startedAt: number;
-}
 
 /** Gateway of one node. */
 export class GatewayTask extends Task<GatewayMessage> {
@@ -71,6 +59,7 @@
   private readonly routers = new Map<string, ServiceRouter>();
   private readonly sender: GateSender;
   private readonly handler: CallHandler;
+  private readonly answerer: CallAnswerer;
   private rules: ReadonlyMap<string, ServiceRules> = new Map();
   private records: readonly MemberRecord[] = [];
   private cutDomains: readonly string[] = [];
@@ -103,6 +92,14 @@
         options.decisions.add(callId, sampled, decision),
       onFault: options.onFault,
     });
+    this.answerer = new CallAnswerer({
+      timers: options.timers,
+      metrics: options.metrics,
+      callers: options.callers,
+      newsHoldMs: options.newsHoldMs,
+      isClosing: () => this.closing,
+      onFault: options.onFault,
+    });
     this.listener = new Listener({
       host: options.address.host,
       port: options.callerPort,
@@ -332,7 +329,7 @@
     const context = {res, call, startedAt};
     const handle = this.handler.handle(
       {call, router, sampled, fingerprint},
-      outcome => this.answer(context, outcome),
+      outcome => this.answerer.answer(context, outcome),
     );
     res.on('close', () => {
       if (!res.writableFinished) handle.callerGone();
@@ -353,76 +350,6 @@
     );
   }
 
-  private answer(context: CallContext, outcome: HandledOutcome): void {
-    try {
-      this.finish(context, outcome);
-    } catch (err) {
-      // A server's headers may be such that they cannot be sent on.
-      this.options.onFault(err);
-      const {res} = context;
-      if (res.headersSent) res.destroy();
-      else {
-        this.options.callers.writeError(
-          res,
-          this.answerContext(context),
-          'brokenAnswer',
-        );
-      }
-    }
-  }
-
-  private finish(context: CallContext, outcome: HandledOutcome): void {
-    const {service} = context.call.info;
-    const us = (this.timers.now() - context.startedAt) * MICROS_PER_MILLI;
-    this.options.metrics.histogram('call_us', {service}).recordUs(us);
-    switch (outcome.type) {
-      case 'failed':
-        this.failLater(context, outcome.kind);
-        return;
-      case 'kept':
-        this.options.metrics.count('calls_total', {service, outcome: 'kept'});
-        this.options.callers.writeKept(
-          context.res,
-          this.answerContext(context),
-          outcome.answer,
-        );
-        return;
-      case 'answered': {
-        const hopUs = us - outcome.result.gateUs;
-        this.options.metrics.histogram('hop_us', {service}).recordUs(hopUs);
-        this.options.metrics.count('calls_total', {
-          service,
-          outcome: 'answered',
-        });
-        const answer = this.answerContext(context, outcome.server);
-        this.options.callers.writeAnswer(context.res, answer, outcome.result);
-        return;
-      }
-    }
-  }
-
-  // The news of a server's death is to be everywhere before its caller sends the same again.
-  private failLater(context: CallContext, kind: ErrorKind): void {
-    const {newsHoldMs = DEFAULT_NEWS_HOLD_MS} = this.options;
-    const holdMs = kind === 'serverDied' ? newsHoldMs : 0;
-    if (holdMs === 0) this.fail(context, kind);
-    else this.timers.after(holdMs, () => this.fail(context, kind));
-  }
-
-  private fail(context: CallContext, kind: ErrorKind): void {
-    const {service} = context.call.info;
-    this.options.metrics.count('calls_total', {service, outcome: kind});
-    this.options.callers.writeError(
-      context.res,
-      this.answerContext(context),
-      kind,
-    );
-  }
-
-  private answerContext(context: CallContext, server?: string): AnswerContext {
-    return {callId: context.call.info.callId, server, closing: this.closing};
-  }
-
   private newCallId(req: IncomingMessage): string {
     const seq = this.callSeq++;
     const {nodeId, bootId} = this.options.address;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -17,6 +17,7 @@
 import type {ServerConnections} from '../gate/server_connections';
 import type {ServerInterface} from '../gate/server_interface';
 import type {CallerInterface} from '../gateway/caller_interface';
+import {CrashNews} from '../gateway/crash_news';
 import {DecisionLog} from '../gateway/decision_log';
 import {fetchConfig} from '../gateway/gate_client';
 import {GatewayTask} from '../gateway/gateway_task';
@@ -75,6 +76,7 @@
   private readonly config: ConfigFollower<SidecarConfig>;
   private readonly store: BudgetedStore;
   private readonly budget: BodyBudget;
+  private readonly crashNews: CrashNews;
   private leaving = false;
   private fetching = false;
   private broken = 0;
@@ -88,6 +90,12 @@
     this.address = this.makeAddress();
     this.store = this.makeStore();
     this.budget = new BodyBudget(options.settings.callers.buffered_bytes);
+    this.crashNews = new CrashNews({
+      timers: options.timers,
+      logger: options.logger,
+      quarantine: () => this.gateway.quarantine,
+      spread: news => this.spread(news),
+    });
     this.gate = this.makeGate();
     this.gateway = this.makeGateway();
     this.data = this.makeData();
@@ -228,8 +236,8 @@
       events: {
         onServers: servers => this.onServers(servers),
         onServerDied: (instance, fingerprints) =>
-          this.onServerDied(instance, fingerprints),
-        onCompleted: fingerprint => this.onCompleted(fingerprint),
+          this.crashNews.serverDied(instance, fingerprints),
+        onCompleted: fingerprint => this.crashNews.completed(fingerprint),
         onFault: err => this.onFault(err),
         onDecision: fields => logger.decision(fields),
       },
@@ -378,27 +386,6 @@
     this.gateway.post({type: 'members', records, cutDomains: []});
   }
 
-  private onServerDied(
-    instance: string,
-    fingerprints: readonly string[],
-  ): void {
-    const inFlight = fingerprints.length;
-    this.options.logger.warn('serverDied', {instance, inFlight});
-    const at = this.options.timers.wall();
-    for (const fingerprint of new Set(fingerprints)) {
-      this.spread({type: 'strike', fingerprint, instance, at});
-    }
-  }
-
-  private onCompleted(fingerprint: () => string): void {
-    const {quarantine} = this.gateway;
-    if (quarantine.isEmpty) return;
-    const digest = fingerprint();
-    if (!quarantine.isKnown(digest)) return;
-    const at = this.options.timers.wall();
-    this.spread({type: 'clearance', fingerprint: digest, at});
-  }
-
   private spread(news: MemberNews): void {
     this.onNews(news);
     this.peers.spread(news);
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -19,6 +19,7 @@
 import {OwnServerInterface} from './gate/server_interface';
 import {OwnCallerInterface} from './gateway/caller_interface';
 import {ClaimSweeper} from './gateway/claim_sweeper';
+import {CrashNews} from './gateway/crash_news';
 import type {DecisionLog} from './gateway/decision_log';
 import {GatewayTask} from './gateway/gateway_task';
 import type {BodyBudget} from './http/body';
@@ -64,8 +65,15 @@
   private readonly controlListener: ControlListener;
   private readonly operator: OperatorTask;
   private readonly sweeper: ClaimSweeper;
+  private readonly crashNews: CrashNews;
 
   constructor(private readonly options: TaskOptions) {
+    this.crashNews = new CrashNews({
+      timers: options.timers,
+      logger: options.logger,
+      quarantine: () => this.gateway.quarantine,
+      spread: news => this.spread(news),
+    });
     this.gate = this.makeGate();
     this.gateway = this.makeGateway();
     this.control = this.makeControl();
@@ -113,8 +121,8 @@
       events: {
         onServers: servers => this.onServers(servers),
         onServerDied: (instance, fingerprints) =>
-          this.onServerDied(instance, fingerprints),
-        onCompleted: fingerprint => this.onCompleted(fingerprint),
+          this.crashNews.serverDied(instance, fingerprints),
+        onCompleted: fingerprint => this.crashNews.completed(fingerprint),
         onFault,
         onDecision: fields => logger.decision(fields),
       },
@@ -219,27 +227,6 @@
     this.control.setServers(servers);
   }
 
-  private onServerDied(
-    instance: string,
-    fingerprints: readonly string[],
-  ): void {
-    const inFlight = fingerprints.length;
-    this.options.logger.warn('serverDied', {instance, inFlight});
-    const at = this.options.timers.wall();
-    for (const fingerprint of new Set(fingerprints)) {
-      this.spread({type: 'strike', fingerprint, instance, at});
-    }
-  }
-
-  private onCompleted(fingerprint: () => string): void {
-    const {quarantine} = this.gateway;
-    if (quarantine.isEmpty) return;
-    const digest = fingerprint();
-    if (!quarantine.isKnown(digest)) return;
-    const at = this.options.timers.wall();
-    this.spread({type: 'clearance', fingerprint: digest, at});
-  }
-
   private spread(news: MemberNews): void {
     this.gateway.post({type: 'news', news});
     this.control.spread(news);
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,18 +1,9 @@
 // Installs what the lock file names, if that has not been done, and bundles the program for the platform.
-import {execSync} from 'node:child_process';
-import {existsSync, statSync, writeFileSync} from 'node:fs';
-import {dirname, join} from 'node:path';
+import {writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
+import {installIfStale} from './install.mjs';
 
-const root = join(dirname(fileURLToPath(import.meta.url)), '..');
-process.chdir(root);
-
-const marker = 'node_modules/.package-lock.json';
-const stale =
-  !existsSync(marker) ||
-  statSync(marker).mtimeMs < statSync('package-lock.json').mtimeMs;
-if (stale) execSync('npm ci', {stdio: ['ignore', 2, 2]});
+installIfStale();
 
 const {build} = await import('esbuild');
 // Nodes speak HTTP/1.1; loading HTTP/2 takes a megabyte and start-up time.
--- /dev/null
+++ b/scripts/install.mjs
@@ -0,0 +1,17 @@
+// Installs what the lock file names, if that has not been done, in the root of the workspace.
+import {execSync} from 'node:child_process';
+import {existsSync, statSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+
+const MARKER = 'node_modules/.package-lock.json';
+
+/** Changes to the root and installs there if the lock file is newer than what is installed. */
+export function installIfStale() {
+  process.chdir(join(dirname(fileURLToPath(import.meta.url)), '..'));
+  const stale =
+    !existsSync(MARKER) ||
+    statSync(MARKER).mtimeMs < statSync('package-lock.json').mtimeMs;
+  if (stale) execSync('npm ci', {stdio: ['ignore', 2, 2]});
+}
--- a/scripts/prepare.mjs
+++ b/scripts/prepare.mjs
@@ -1,18 +1,7 @@
 // Installs what the lock file names, if that has not been done, and bundles the program.
-import {execSync} from 'node:child_process';
-import {existsSync, statSync} from 'node:fs';
-import {dirname, join} from 'node:path';
-import process from 'node:process';
-import {fileURLToPath} from 'node:url';
+import {installIfStale} from './install.mjs';
 
-const root = join(dirname(fileURLToPath(import.meta.url)), '..');
-process.chdir(root);
-
-const marker = 'node_modules/.package-lock.json';
-const stale =
-  !existsSync(marker) ||
-  statSync(marker).mtimeMs < statSync('package-lock.json').mtimeMs;
-if (stale) execSync('npm ci', {stdio: ['ignore', 2, 2]});
+installIfStale();
 
 const {build} = await import('esbuild');
 await build({
