--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -64,6 +64,15 @@
     return res.statusCode;
   }
 
+  /** Says that it leaves; answers the status. */
+  async farewell(): Promise<number> {
+    const {id, control} = this.options;
+    const url = `http://${control}/v1/instances/${id}`;
+    const res = await request(url, {method: 'DELETE'});
+    await res.body.dump();
+    return res.statusCode;
+  }
+
   async close(): Promise<void> {
     this.server.closeAllConnections();
     await new Promise(done => this.server.close(done));
