--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -58,7 +58,6 @@
 export class Fleet {
   readonly members: FleetMember[] = [];
   platformUrl = '';
-  private platform: ChildProcess | undefined;
   private readonly children = new Set<ChildProcess>();
   private readonly onSignal = (signal: NodeJS.Signals): void => {
     this.children.forEach(child => child.kill('SIGKILL'));
@@ -77,7 +76,7 @@
   async start(): Promise<void> {
     const [port] = await freePorts(1);
     this.platformUrl = `http://127.0.0.1:${port}`;
-    this.platform = this.run(['stand-in', 'platform', '--port', String(port)]);
+    this.run(['stand-in', 'platform', '--port', String(port)]);
     await this.waitFor(`${this.platformUrl}/counts`);
     const plans = this.plan();
     const ports = await freePorts(plans.length * 5);
@@ -167,12 +166,7 @@
   }
 
   async close(): Promise<void> {
-    const children = this.members.flatMap(member => [
-      member.node,
-      member.server,
-    ]);
-    if (this.platform !== undefined) children.push(this.platform);
-    await Promise.all(children.map(endProcess));
+    await Promise.all([...this.children].map(endProcess));
     process.off('SIGTERM', this.onSignal);
     process.off('SIGINT', this.onSignal);
   }
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -16,9 +16,9 @@
   readonly path: string;
   /** Reads the object; fails with what is wrong with it. */
   readonly decode: (text: string) => Result<T, string>;
-  /** Rises from one configuration to the next. */
   /** Nodes of the fleet, which watch in turn. */
   readonly nodes: () => number;
+  /** Rises from one configuration to the next. */
   readonly versionOf: (config: T) => number;
   readonly onConfig: (config: T, source: string) => void;
   /** The store can, or can no longer, be read. */
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -1,6 +1,6 @@
 /** A node that finds its peers and its configuration in the store and shares load by datagrams. */
 import type {Logger} from '@goldcresthill/logger';
-import type {MemberNews} from '@goldcresthill/membership';
+import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import {BudgetedStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
@@ -288,7 +288,7 @@
       configVersion: () => this.config.version,
       leavingServers: () => this.gate.leavingServers,
       events: {
-        onMembers: () => this.tellMembers(),
+        onMembers: records => this.tellMembers(records),
         onLoads: (nodeId, loads) =>
           this.gateway.post({type: 'loads', nodeId, loads}),
         onNews: news => this.onNews(news),
@@ -381,8 +381,9 @@
     this.peers.tellChange();
   }
 
-  private tellMembers(): void {
-    const records = this.peers.records();
+  private tellMembers(
+    records: readonly MemberRecord[] = this.peers.records(),
+  ): void {
     this.gateway.post({type: 'members', records, cutDomains: []});
   }
 
