Rejections by a server with room no longer shrink its limit

The gate took each rejection for a lack of room and shrank its limit to one request, so that 60% of all requests were refused by our own gates (369 of 603 in two seconds), where the servers would have run most of them. Ruled out: the retry budget (it bounds resends, not first sends); errors of routing. Change: 'rejected' as an outcome of its own; the limit stays, and the gateway counts it as an error of that server. The test failed first.

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -110,7 +110,10 @@
 const FREE_REROUTES = 1;
 
 /** Refusals by the server itself. */
-const SERVER_REFUSALS: ReadonlySet<ErrorKind> = new Set(['shedByServer']);
+const SERVER_REFUSALS: ReadonlySet<ErrorKind> = new Set([
+  'shedByServer',
+  'rejectedByServer',
+]);
 
 const OPEN: readonly AttemptState[] = ['picking', 'sent', 'resolving'];
 
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -45,6 +45,7 @@
   fenced: notRun(503),
   serverUnreachable: notRun(503),
   shedByServer: notRun(503),
+  rejectedByServer: notRun(503),
   suspectBusy: notRun(503),
   quarantined: notRun(422, false),
   retriesSpent: notRun(503),
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -49,8 +49,11 @@
     }
   | {readonly type: 'refuse'; readonly kind: ErrorKind};
 
-/** How a request ended at the server. */
-export type Outcome = 'ok' | 'shed' | 'failed';
+/**
+ * How a request ended at the server: `shed` for lack of room, `rejected` by a
+ * server that says it has room.
+ */
+export type Outcome = 'ok' | 'shed' | 'rejected' | 'failed';
 
 /** What the owner of the sockets is to do next. */
 export type GateCommand =
@@ -131,7 +134,9 @@
     this.running.delete(ref);
     if (run.suspect) this.suspects--;
     this.service.finish(this.work.at(now), run.startedWork, outcome === 'ok');
-    this.limit.observe(now, outcome === 'shed', this.running.size + 1);
+    if (outcome !== 'rejected') {
+      this.limit.observe(now, outcome === 'shed', this.running.size + 1);
+    }
     return this.withDrained(this.startWaiting(now));
   }
 
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -100,6 +100,15 @@
     expect(subject.report(100).limit).toBe(10);
   });
 
+  it('keeps its limit when the server rejects requests though it has room', () => {
+    const subject = gate(10);
+    for (let ref = 0; ref < 10; ref++) {
+      subject.admit(ref, request(ref));
+      subject.finish(ref, ref, 'rejected');
+    }
+    expect(subject.report(10).limit).toBe(10);
+  });
+
   it('finds the end of a request that never ran', () => {
     expect(() => gate().finish(0, 99, 'ok')).toThrow(InvariantError);
   });
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -1,5 +1,4 @@
 /** Link to one server on this VM: its gate, its connections and what runs there. */
-import type {IncomingHttpHeaders} from 'node:http';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {Gate} from '@goldcresthill/gate';
 import type {GateCommand, Outcome} from '@goldcresthill/gate';
@@ -16,7 +15,11 @@
 import {LoadChecker} from './load_checker';
 import type {Announcement, AttemptRequest, AttemptResult} from './messages';
 import type {ServerConnections, ServerExchange} from './server_connections';
-import type {AnswerVerdict, ServerInterface} from './server_interface';
+import type {
+  AnswerVerdict,
+  ServerInterface,
+  ServerLoad,
+} from './server_interface';
 
 /** What happens at a link, told to the gate task. */
 export interface LinkEvents {
@@ -50,11 +53,6 @@
   [INVALID_ANSWER, 'brokenAnswer'],
 ]);
 
-const REFUSALS: ReadonlyMap<AnswerVerdict, ErrorKind> = new Map([
-  ['notRun', 'shedByServer'],
-  ['otherInstance', 'serverUnreachable'],
-]);
-
 /** What a link starts from. */
 export interface ServerLinkOptions {
   readonly announcement: Announcement;
@@ -262,13 +260,13 @@
     result: ExchangeResult & {type: 'answer'},
   ): void {
     const {status, headers, body} = result;
-    this.learnLoad(headers);
+    const load = this.options.server.loadOf(headers);
+    if (load !== undefined) this.learnLoad(load);
     const {req} = entry;
     const verdict = this.options.server.judge(req, status, headers, this.rules);
-    const shed = verdict === 'notRun';
+    const kind = refusalKind(verdict, load);
     // A streamed answer holds its slot until its end.
-    if (body.type === 'whole') this.release(ref, shed ? 'shed' : 'ok');
-    const kind = REFUSALS.get(verdict);
+    if (body.type === 'whole') this.release(ref, outcomeOf(kind));
     if (kind !== undefined && body.type === 'whole') {
       this.tell(entry, {type: 'refused', kind});
       return;
@@ -276,9 +274,7 @@
     this.tell(entry, {type: 'answered', status, headers, body});
   }
 
-  private learnLoad(headers: IncomingHttpHeaders): void {
-    const load = this.options.server.loadOf(headers);
-    if (load === undefined) return;
+  private learnLoad(load: ServerLoad): void {
     this.loadChecker.noteLearnt();
     this.gate.learnSlowdown(this.options.timers.now(), load.slowdown);
   }
@@ -362,6 +358,37 @@
   }
 }
 
+/** Why a server has not run a request; undefined if it has. */
+function refusalKind(
+  verdict: AnswerVerdict,
+  load: ServerLoad | undefined,
+): ErrorKind | undefined {
+  switch (verdict) {
+    case 'notRun':
+      return hasRoom(load) ? 'rejectedByServer' : 'shedByServer';
+    case 'otherInstance':
+      return 'serverUnreachable';
+    case 'answer':
+    case 'invalid':
+      return undefined;
+  }
+}
+
+function hasRoom(load: ServerLoad | undefined): boolean {
+  return load !== undefined && load.running < load.slots;
+}
+
+function outcomeOf(refusal: ErrorKind | undefined): Outcome {
+  switch (refusal) {
+    case 'shedByServer':
+      return 'shed';
+    case 'rejectedByServer':
+      return 'rejected';
+    default:
+      return 'ok';
+  }
+}
+
 type DistributiveOmit<T, K extends PropertyKey> = T extends unknown
   ? Omit<T, K>
   : never;
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -351,12 +351,23 @@
     case 'answered':
       return result.status >= SERVER_ERROR ? 'serverError' : 'answered';
     case 'refused':
-      return result.kind === 'serverUnreachable' ? 'failed' : 'refused';
+      return refusalOutcome(result.kind);
     case 'broke':
       return 'failed';
   }
 }
 
+function refusalOutcome(kind: ErrorKind): PickResult['outcome'] {
+  switch (kind) {
+    case 'serverUnreachable':
+      return 'failed';
+    case 'rejectedByServer':
+      return 'rejected';
+    default:
+      return 'refused';
+  }
+}
+
 function discard(result: AttemptResult & {type: 'answered'}): void {
   if (result.body.type === 'stream') result.body.stream.destroy();
 }
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -71,6 +71,8 @@
     | 'answered'
     | 'serverError'
     | 'refused'
+    /** Refused by a server that had room, which counts as an error of the server. */
+    | 'rejected'
     | 'failed'
     /** Given up for another reason than the server. */
     | 'cancelled'
@@ -263,6 +265,9 @@
           this.median.observe(result.report.serviceUs);
         }
         return;
+      case 'rejected':
+        view.noteError(true);
+        return;
       case 'timedOut':
         // Work of many times the usual length is the exception; a server that hangs is not.
         if (result.elapsedMs * MICROS_PER_MILLI > HUNG_RATIO * this.medianUs) {
