--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -384,6 +384,7 @@
       ref,
       deadline,
       suspect: false,
+      route: '',
       priority: 0,
       objective: deadline,
       returning: false,
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -1,6 +1,6 @@
 /** The only way to one server. */
 import type {ErrorKind} from '@goldcresthill/errors';
-import {expectedWorkTime, invariant} from '@goldcresthill/types';
+import {invariant} from '@goldcresthill/types';
 import type {
   LoadReport,
   Millis,
@@ -8,9 +8,10 @@
   ServiceRules,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
+import {RunningRequests} from './running_requests';
+import {SlowSpells} from './slow_spells';
 import {WaitingLine} from './waiting_line';
-import {WorkClock} from './work_clock';
-import {ServiceTime} from './service_time';
+import {WorkTimes} from './work_times';
 
 /** What the gate needs to know of a server. */
 export interface GateOptions {
@@ -31,6 +32,8 @@
   readonly deadline: Millis;
   /** Whether the same request was in flight at a server that died. */
   readonly suspect: boolean;
+  /** Requests of one route take alike; empty if none is named. */
+  readonly route: string;
   /** Rank of the call; 0 goes first. */
   readonly priority: number;
   /** Instant up to which an answer is worth its full value. */
@@ -64,41 +67,39 @@
 const PERCENT = 100;
 /** Share of the time left that a request waits at one gate. */
 const QUEUE_SHARE = 0.3;
+/** Work is planned with this many times its average, as half of all takes longer than that. */
+const WORK_MARGIN = 1.2;
+/** A server is stuck when the mean age of its requests is this many averages. */
+const STUCK_RATIO = 4;
+const MICROS_PER_MILLI = 1_000;
 
 interface QueuedRequest extends GateRequest {
   /** When it is refused, so that another server gets the chance. */
   readonly leaveAt: Millis;
 }
 
-interface Running {
-  /** By the work clock, milliseconds. */
-  readonly startedWork: Millis;
-  readonly suspect: boolean;
-}
-
 /**
  * Aggregate that owns the slots and the queue of one server. It counts every
  * request itself, so its in-flight figure is exact. Its commands are the only
  * cause of a request reaching the server.
  */
 export class Gate {
-  private readonly running = new Map<number, Running>();
+  private readonly running = new RunningRequests();
   private readonly line = new WaitingLine<QueuedRequest>();
-  private readonly service = new ServiceTime();
+  private readonly work = new WorkTimes();
+  private readonly spells = new SlowSpells();
   private readonly limit: AdaptiveLimit;
   private readonly slots: number;
   private rules: ServiceRules;
   private suspects = 0;
   private status: ServerState = 'up';
   private drainedTold = false;
-  private readonly work: WorkClock;
 
   constructor(
     now: Millis,
     private readonly options: GateOptions,
   ) {
     this.rules = options.rules;
-    this.work = new WorkClock(now);
     this.slots = Math.max(1, Math.min(options.slots, options.rules.maxSlots));
     this.limit = new AdaptiveLimit({
       slots: this.usableSlots,
@@ -112,11 +113,14 @@
   admit(now: Millis, req: GateRequest): Admission {
     const kind = this.refusal(now, req);
     if (kind !== undefined) return {type: 'refuse', kind};
-    if (this.line.size === 0 && this.hasSlot(now)) {
+    const mustWait = this.mustWait(now, req);
+    if ((mustWait || this.spells.isSlow) && this.isTooLate(now, req)) {
+      return {type: 'refuse', kind: 'queueFull'};
+    }
+    if (!mustWait) {
       this.start(now, req);
       return {type: 'start'};
     }
-    if (this.isTooLate(now, req)) return {type: 'refuse', kind: 'queueFull'};
     const evicted = this.makeRoom(req);
     if (this.line.size >= this.queueBound) {
       return {type: 'refuse', kind: 'queueFull'};
@@ -129,11 +133,12 @@
 
   /** A request has left the server. */
   finish(now: Millis, ref: number, outcome: Outcome): GateCommand[] {
-    const run = this.running.get(ref);
-    invariant(run !== undefined, 'gate.finish', () => `${ref} is not running`);
-    this.running.delete(ref);
+    const run = this.running.remove(ref);
     if (run.suspect) this.suspects--;
-    this.service.finish(this.work.at(now), run.startedWork, outcome === 'ok');
+    if (outcome === 'ok') {
+      const took = (now - run.startedAt) / run.slowdown;
+      this.work.learn(now, run.route, took);
+    }
     if (outcome !== 'rejected') {
       this.limit.observe(now, outcome === 'shed', this.running.size + 1);
     }
@@ -184,9 +189,15 @@
     this.limit.configure(this.usableSlots, rules.warmUpMs);
   }
 
-  /** The server says how many times longer than usual work takes now. */
-  learnSlowdown(now: Millis, slowdown: number): void {
-    this.work.setSlowdown(now, slowdown);
+  /** The server says how many times longer than usual work takes that starts now. */
+  learnSlowdown(now: Millis, slowdown: number): GateCommand[] {
+    this.spells.learn(now, slowdown);
+    return this.withDrained(this.startWaiting(now));
+  }
+
+  /** Whether requests wait for the server to be as fast as usual again. */
+  get isHolding(): boolean {
+    return this.spells.isSlow && this.line.size > 0;
   }
 
   /** Load as this gate counts it. */
@@ -195,8 +206,8 @@
       inFlight: this.running.size,
       queued: this.line.size,
       limit: this.limit.current(now),
-      serviceUs: Math.round(this.service.estimateUs(this.work.at(now))),
-      slowdown: this.work.slowdown,
+      serviceUs: Math.round(this.usualTime(now) * MICROS_PER_MILLI),
+      slowdown: this.spells.slowdown,
       state: this.status,
     };
   }
@@ -212,7 +223,7 @@
   private startWaiting(now: Millis): GateCommand[] {
     const commands: GateCommand[] = [];
     while (this.hasSlot(now)) {
-      const req = this.line.next(now + this.turnMs);
+      const req = this.nextStartable(now);
       if (req === undefined) break;
       this.cancelQueued(req.ref);
       if (req.deadline <= now) {
@@ -231,21 +242,57 @@
     if (req.suspect && this.suspects > 0) return 'suspectBusy';
     if (req.deadline <= now) return 'deadlineTooShort';
     if (this.options.deadlineAware === false) return undefined;
-    const needsWait = this.line.size > 0 || !this.hasSlot(now);
     // A call that need not wait is run whatever the estimate says.
-    if (needsWait && this.expectedEnd(now, req) >= req.deadline) {
+    if (this.mustWait(now, req) && this.expectedEnd(now, req) >= req.deadline) {
       return 'deadlineTooShort';
     }
     return undefined;
   }
 
-  /** When a request that has to wait is expected to end. */
+  private mustWait(now: Millis, req: GateRequest): boolean {
+    if (!this.hasSlot(now) || !this.mayStart(now, req)) return true;
+    return this.nextStartable(now) !== undefined;
+  }
+
+  private nextStartable(now: Millis): QueuedRequest | undefined {
+    return this.line.next(
+      req => this.endIfStarted(now, req),
+      req => this.mayStart(now, req),
+    );
+  }
+
+  /**
+   * Whether a request may start at the server's present speed. One that would
+   * be late, and hold its slot for long, waits for the spell of slowness to end.
+   */
+  private mayStart(now: Millis, req: GateRequest): boolean {
+    if (!this.spells.isSlow) return true;
+    if (this.endIfStarted(now, req) <= req.objective) return true;
+    const workMs = this.work.of(req.route);
+    return now + this.spells.expectedRest(now) + workMs > req.deadline;
+  }
+
+  private endIfStarted(now: Millis, req: GateRequest): Millis {
+    return now + this.work.of(req.route) * this.spells.slowdown;
+  }
+
+  /** When a request is expected to end. */
   private expectedEnd(now: Millis, req: GateRequest): Millis {
-    const {turnMs} = this;
+    const startAt = this.expectedStart(now, req);
+    const workMs = this.work.of(req.route) * WORK_MARGIN;
+    const slowEnd = startAt + workMs * this.spells.slowdown;
+    if (!this.spells.isSlow || slowEnd <= req.objective) return slowEnd;
+    const spellEnd = now + this.spells.expectedRest(now);
+    return Math.min(slowEnd, Math.max(startAt, spellEnd) + workMs);
+  }
+
+  private expectedStart(now: Millis, req: GateRequest): Millis {
     const limit = this.limit.current(now);
-    const before = this.line.countBefore(req.priority, now + turnMs);
-    const ahead = Math.max(0, this.running.size + before + 1 - limit);
-    return now + (ahead / limit + 1) * turnMs;
+    const before = this.line.countBefore(req.priority, other =>
+      this.endIfStarted(now, other),
+    );
+    const turnMs = this.work.averageMs;
+    return this.running.startAfter(now, {before, limit, turnMs});
   }
 
   // A caller that has been refused before is not refused again for being late.
@@ -265,13 +312,19 @@
 
   private patienceMs(now: Millis, req: GateRequest): Millis {
     if (this.options.reroutesWaiting === false) return req.deadline - now;
-    const end = req.objective > now ? req.objective : req.deadline;
-    return (end - now) * QUEUE_SHARE;
+    const latestStart = req.objective - this.work.of(req.route);
+    const end = latestStart > now ? req.objective : req.deadline;
+    const sharedMs = (end - now) * QUEUE_SHARE;
+    if (!this.spells.isSlow || end === req.deadline) return sharedMs;
+    // It waits for the end of the spell, as long as it can be in time then.
+    return Math.max(sharedMs, latestStart - now);
   }
 
-  /** Expected time of one request at the server, milliseconds. */
-  private get turnMs(): Millis {
-    return expectedWorkTime(this.service.finishedMs, this.work.slowdown);
+  /** Time of a request at usual speed; a server that hangs shows it by the age of what runs there. */
+  private usualTime(now: Millis): Millis {
+    const {averageMs} = this.work;
+    const age = this.running.meanAge(now);
+    return age > STUCK_RATIO * averageMs ? age : averageMs;
   }
 
   private get usableSlots(): number {
@@ -293,12 +346,17 @@
       'gate.drain',
       () => 'a start while leaving',
     );
-    this.running.set(req.ref, {
-      startedWork: this.work.at(now),
-      suspect: req.suspect,
+    const {route, suspect} = req;
+    const {slowdown} = this.spells;
+    const endsAt = this.endIfStarted(now, req);
+    this.running.add(req.ref, {
+      route,
+      startedAt: now,
+      slowdown,
+      endsAt,
+      suspect,
     });
-    if (req.suspect) this.suspects++;
-    this.service.start(this.work.at(now));
+    if (suspect) this.suspects++;
     this.assertBounds();
   }
 
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -8,6 +8,7 @@
   ref,
   deadline: 1_000,
   suspect,
+  route: '',
   priority: 0,
   objective: 1_000,
   returning: false,
@@ -138,6 +139,7 @@
             const told = subject.admit(now, {
               ref: now,
               deadline: now + pick,
+              route: '',
               priority: 0,
               objective: now + pick,
               returning: false,
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -8,8 +8,6 @@
   Outcome,
 } from './gate';
 export {AdaptiveLimit} from './adaptive_limit';
-export {WorkClock} from './work_clock';
-export {ServiceTime} from './service_time';
 export {AnnouncementOrder} from './announcement_order';
 export type {AnnouncementMark} from './announcement_order';
 export {CallOrigins} from './call_origins';
--- a/packages/gate/src/waiting_line.ts
+++ b/packages/gate/src/waiting_line.ts
@@ -13,6 +13,9 @@
   readonly returning: boolean;
 }
 
+/** When a request is expected to end if it starts now. */
+export type EndOf<Item> = (item: Item) => Millis;
+
 /**
  * Those that can still be answered within their objective go first, by
  * priority, callers that were refused before ahead of new ones, and then in
@@ -32,20 +35,24 @@
     return item;
   }
 
-  /** Whose turn it is, if work that starts now ends at `endsAt`. */
-  next(endsAt: Millis): Item | undefined {
+  /** Whose turn it is, among those that may start now. */
+  next(
+    endOf: EndOf<Item>,
+    mayStart: (item: Item) => boolean = () => true,
+  ): Item | undefined {
     let best: Item | undefined;
     for (const item of this.items.values()) {
-      if (best === undefined || goesBefore(item, best, endsAt)) best = item;
+      if (!mayStart(item)) continue;
+      if (best === undefined || goesBefore(item, best, endOf)) best = item;
     }
     return best;
   }
 
   /** Requests that go before a new one of a priority, if those that are late anyway do not. */
-  countBefore(priority: number, endsAt: Millis): number {
+  countBefore(priority: number, endOf: EndOf<Item>): number {
     let count = 0;
     for (const item of this.items.values()) {
-      if (item.priority <= priority && item.objective >= endsAt) count++;
+      if (item.priority <= priority && item.objective >= endOf(item)) count++;
     }
     return count;
   }
@@ -74,9 +81,13 @@
   return other.returning && !item.returning;
 }
 
-function goesBefore(a: Waiting, b: Waiting, endsAt: Millis): boolean {
-  const aInTime = a.objective >= endsAt;
-  const bInTime = b.objective >= endsAt;
+function goesBefore<Item extends Waiting>(
+  a: Item,
+  b: Item,
+  endOf: EndOf<Item>,
+): boolean {
+  const aInTime = a.objective >= endOf(a);
+  const bInTime = b.objective >= endOf(b);
   if (aInTime !== bInTime) return aInTime;
   if (a.priority !== b.priority) return a.priority < b.priority;
   return a.returning && !b.returning;
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -10,9 +10,13 @@
   readonly connections: ServerConnections;
   readonly server: ServerInterface;
   readonly onLoad: (load: ServerLoad) => void;
+  /** Requests wait for what the next check says. */
+  readonly isUrgent: () => boolean;
 }
 
 const MILLIS_PER_SECOND = 1_000;
+/** Urgent checks are that many times as frequent. */
+const URGENT_RATIO = 2;
 
 /** One question at a time, at the rate of the service's rules. */
 export class LoadChecker {
@@ -33,7 +37,7 @@
     this.timer?.();
     this.timer = undefined;
     if (loadPath === '' || loadChecksPerSecond === 0) return;
-    this.timer = this.options.timers.every(this.gapMs, () => this.ask());
+    this.checkLater();
   }
 
   /** An answer brought the load, so that the next question can wait. */
@@ -47,7 +51,17 @@
   }
 
   private get gapMs(): Millis {
-    return MILLIS_PER_SECOND / this.perSecond;
+    const perSecond = this.options.isUrgent()
+      ? this.perSecond * URGENT_RATIO
+      : this.perSecond;
+    return MILLIS_PER_SECOND / perSecond;
+  }
+
+  private checkLater(): void {
+    this.timer = this.options.timers.after(this.gapMs, () => {
+      this.ask();
+      this.checkLater();
+    });
   }
 
   private ask(): void {
@@ -60,7 +74,6 @@
       if (result.type === 'broke') return;
       const load = server.loadOf(result.headers);
       if (load === undefined) return;
-      this.noteLearnt();
       onLoad(load);
     });
   }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -87,7 +87,8 @@
       timers,
       connections,
       server,
-      onLoad: load => this.gate.learnSlowdown(timers.now(), load.slowdown),
+      onLoad: load => this.learnLoad(load),
+      isUrgent: () => this.gate.isHolding,
     });
     this.loadChecker.configure(rules);
   }
@@ -120,11 +121,12 @@
     const ref = this.refs++;
     const entry = {req, arrivedAt: now, exchange: undefined, started: false};
     this.requests.set(ref, entry);
-    const {deadline, suspect, priority, objective, returning} = req;
+    const {deadline, suspect, route, priority, objective, returning} = req;
     const admission = this.gate.admit(now, {
       ref,
       deadline,
       suspect,
+      route,
       priority,
       objective,
       returning,
@@ -276,7 +278,8 @@
 
   private learnLoad(load: ServerLoad): void {
     this.loadChecker.noteLearnt();
-    this.gate.learnSlowdown(this.options.timers.now(), load.slowdown);
+    const now = this.options.timers.now();
+    this.execute(this.gate.learnSlowdown(now, load.slowdown));
   }
 
   // The answer waits for the check, as the gateway treats a death differently.
