--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -69,11 +69,17 @@
 const QUEUE_SHARE = 0.3;
 /** Work is planned with this many times its average, as half of all takes longer than that. */
 const WORK_MARGIN = 1.2;
+/** Work is expected to take this share of the time to the objective while nothing is known of it. */
+const UNKNOWN_WORK_SHARE = 0.35;
 /** A server is stuck when the mean age of its requests is this many averages. */
 const STUCK_RATIO = 4;
 const MICROS_PER_MILLI = 1_000;
 
-interface QueuedRequest extends GateRequest {
+interface Arrival extends GateRequest {
+  readonly arrivedAt: Millis;
+}
+
+interface QueuedRequest extends Arrival {
   /** When it is refused, so that another server gets the chance. */
   readonly leaveAt: Millis;
 }
@@ -110,7 +116,8 @@
   }
 
   /** Decides about a request that has arrived. */
-  admit(now: Millis, req: GateRequest): Admission {
+  admit(now: Millis, request: GateRequest): Admission {
+    const req = {...request, arrivedAt: now};
     const kind = this.refusal(now, req);
     if (kind !== undefined) return {type: 'refuse', kind};
     const mustWait = this.mustWait(now, req);
@@ -157,7 +164,7 @@
   advance(now: Millis): GateCommand[] {
     const commands: GateCommand[] = [];
     for (const req of this.line) {
-      if (req.leaveAt > now) continue;
+      if (req.leaveAt > now && !this.hasBecomeLate(now, req)) continue;
       this.cancelQueued(req.ref);
       commands.push({type: 'refuse', ref: req.ref, kind: 'queueFull'});
     }
@@ -236,7 +243,7 @@
     return commands;
   }
 
-  private refusal(now: Millis, req: GateRequest): ErrorKind | undefined {
+  private refusal(now: Millis, req: Arrival): ErrorKind | undefined {
     if (this.status === 'draining') return 'draining';
     if (this.status === 'down') return 'serverUnreachable';
     if (req.suspect && this.suspects > 0) return 'suspectBusy';
@@ -249,7 +256,7 @@
     return undefined;
   }
 
-  private mustWait(now: Millis, req: GateRequest): boolean {
+  private mustWait(now: Millis, req: Arrival): boolean {
     if (!this.hasSlot(now) || !this.mayStart(now, req)) return true;
     return this.nextStartable(now) !== undefined;
   }
@@ -265,42 +272,59 @@
    * Whether a request may start at the server's present speed. One that would
    * be late, and hold its slot for long, waits for the spell of slowness to end.
    */
-  private mayStart(now: Millis, req: GateRequest): boolean {
+  private mayStart(now: Millis, req: Arrival): boolean {
     if (!this.spells.isSlow) return true;
     if (this.endIfStarted(now, req) <= req.objective) return true;
-    const workMs = this.work.of(req.route);
-    return now + this.spells.expectedRest(now) + workMs > req.deadline;
+    const afterMs = this.workMs(req) * this.spells.slowdownAfter;
+    return now + this.spells.expectedRest(now) + afterMs > req.deadline;
   }
 
-  private endIfStarted(now: Millis, req: GateRequest): Millis {
-    return now + this.work.of(req.route) * this.spells.slowdown;
+  private endIfStarted(now: Millis, req: Arrival): Millis {
+    return now + this.workMs(req) * this.spells.slowdown;
   }
 
   /** When a request is expected to end. */
-  private expectedEnd(now: Millis, req: GateRequest): Millis {
+  private expectedEnd(now: Millis, req: Arrival, margin = WORK_MARGIN): Millis {
     const startAt = this.expectedStart(now, req);
-    const workMs = this.work.of(req.route) * WORK_MARGIN;
+    const workMs = this.workMs(req) * margin;
     const slowEnd = startAt + workMs * this.spells.slowdown;
     if (!this.spells.isSlow || slowEnd <= req.objective) return slowEnd;
     const spellEnd = now + this.spells.expectedRest(now);
-    return Math.min(slowEnd, Math.max(startAt, spellEnd) + workMs);
+    const afterMs = workMs * this.spells.slowdownAfter;
+    return Math.min(slowEnd, Math.max(startAt, spellEnd) + afterMs);
   }
 
-  private expectedStart(now: Millis, req: GateRequest): Millis {
+  private expectedStart(now: Millis, req: Arrival): Millis {
     const limit = this.limit.current(now);
-    const before = this.line.countBefore(req.priority, other =>
+    const before = this.line.countBefore(req, other =>
       this.endIfStarted(now, other),
     );
-    const turnMs = this.work.averageMs;
+    const turnMs =
+      (this.work.averageMs || this.workMs(req)) * this.spells.slowdownAfter;
     return this.running.startAfter(now, {before, limit, turnMs});
   }
 
+  /** Expected time of a request at usual speed. */
+  private workMs(req: Arrival): Millis {
+    const known = this.work.of(req.route);
+    if (known !== undefined || req.route === '') return known ?? 0;
+    const objectiveMs = req.objective - req.arrivedAt;
+    return Math.max(0, objectiveMs * UNKNOWN_WORK_SHARE);
+  }
+
   // A caller that has been refused before is not refused again for being late.
-  private isTooLate(now: Millis, req: GateRequest): boolean {
+  private isTooLate(now: Millis, req: Arrival): boolean {
     if (this.options.deadlineAware === false || req.returning) return false;
     return this.expectedEnd(now, req) > req.objective;
   }
 
+  // What waits here leaves while another server may still answer it in time.
+  private hasBecomeLate(now: Millis, req: QueuedRequest): boolean {
+    if (this.options.reroutesWaiting === false || req.returning) return false;
+    if (req.objective >= req.deadline) return false;
+    return this.expectedEnd(now, req, 1) > req.objective;
+  }
+
   /** Takes a less urgent request out of a full queue. */
   private makeRoom(req: GateRequest): number | undefined {
     if (this.line.size < this.queueBound) return undefined;
@@ -310,9 +334,10 @@
     return victim.ref;
   }
 
-  private patienceMs(now: Millis, req: GateRequest): Millis {
+  private patienceMs(now: Millis, req: Arrival): Millis {
     if (this.options.reroutesWaiting === false) return req.deadline - now;
-    const latestStart = req.objective - this.work.of(req.route);
+    const {slowdownAfter} = this.spells;
+    const latestStart = req.objective - this.workMs(req) * slowdownAfter;
     const end = latestStart > now ? req.objective : req.deadline;
     const sharedMs = (end - now) * QUEUE_SHARE;
     if (!this.spells.isSlow || end === req.deadline) return sharedMs;
@@ -340,7 +365,7 @@
     return this.running.size < this.limit.current(now);
   }
 
-  private start(now: Millis, req: GateRequest): void {
+  private start(now: Millis, req: Arrival): void {
     invariant(
       this.status === 'up',
       'gate.drain',
--- /dev/null
+++ b/packages/gate/src/recent_least.ts
@@ -0,0 +1,27 @@
+/** The least of the values of late, in constant space. */
+import type {Millis} from '@goldcresthill/types';
+
+/** Least value of a time between one and two spans. */
+export class RecentLeast {
+  private spanStart: Millis | undefined;
+  private current = Infinity;
+  private previous = Infinity;
+
+  constructor(private readonly spanMs: Millis) {}
+
+  add(now: Millis, value: number): void {
+    this.spanStart ??= now;
+    const age = now - this.spanStart;
+    if (age >= this.spanMs) {
+      this.previous = age < 2 * this.spanMs ? this.current : Infinity;
+      this.current = Infinity;
+      this.spanStart = now;
+    }
+    this.current = Math.min(this.current, value);
+  }
+
+  /** Infinite until a value has been added. */
+  get value(): number {
+    return Math.min(this.current, this.previous);
+  }
+}
--- a/packages/gate/src/waiting_line.ts
+++ b/packages/gate/src/waiting_line.ts
@@ -48,11 +48,22 @@
     return best;
   }
 
-  /** Requests that go before a new one of a priority, if those that are late anyway do not. */
-  countBefore(priority: number, endOf: EndOf<Item>): number {
+  /** Requests that go before another one, which may wait here itself or be new. */
+  countBefore<Other extends Waiting>(
+    other: Other,
+    endOf: EndOf<Item | Other>,
+  ): number {
     let count = 0;
+    let cameLater = false;
     for (const item of this.items.values()) {
-      if (item.priority <= priority && item.objective >= endOf(item)) count++;
+      if (item.ref === other.ref) {
+        cameLater = true;
+        continue;
+      }
+      const before = cameLater
+        ? goesBefore<Item | Other>(item, other, endOf)
+        : !goesBefore<Item | Other>(other, item, endOf);
+      if (before) count++;
     }
     return count;
   }
--- a/packages/gate/src/work_times.ts
+++ b/packages/gate/src/work_times.ts
@@ -26,9 +26,9 @@
     this.routes.set(route, before + ROUTE_WEIGHT * (took - before));
   }
 
-  /** Average of a route, of all requests while it is new, 0 while nothing is known. */
-  of(route: string): Millis {
-    return this.routes.get(route) ?? this.averageMs;
+  /** Average of a route, of all requests while it is new; undefined while nothing is known. */
+  of(route: string): Millis | undefined {
+    return this.routes.get(route) ?? this.average;
   }
 
   /** Average of all finished requests; 0 while nothing is known. */
