--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -69,8 +69,12 @@
 const QUEUE_SHARE = 0.3;
 /** Work is planned with this many times its average, as half of all takes longer than that. */
 const WORK_MARGIN = 1.2;
+/** Each turn ahead of a late request counts that many times, as those in time overtake it. */
+const LATE_TURNS = 3;
 /** Work is expected to take this share of the time to the objective while nothing is known of it. */
 const UNKNOWN_WORK_SHARE = 0.35;
+/** What a server has told of its usual time holds for that long after its last answer, milliseconds. */
+const USUAL_MEMORY_MS = 1_000;
 /** A server is stuck when the mean age of its requests is this many averages. */
 const STUCK_RATIO = 4;
 const MICROS_PER_MILLI = 1_000;
@@ -296,9 +300,11 @@
 
   private expectedStart(now: Millis, req: Arrival): Millis {
     const limit = this.limit.current(now);
-    const before = this.line.countBefore(req, other =>
+    const ahead = this.line.countBefore(req, other =>
       this.endIfStarted(now, other),
     );
+    const isLate = this.endIfStarted(now, req) > req.objective;
+    const before = isLate ? ahead * LATE_TURNS : ahead;
     const turnMs =
       (this.work.averageMs || this.workMs(req)) * this.spells.slowdownAfter;
     return this.running.startAfter(now, {before, limit, turnMs});
@@ -349,7 +355,9 @@
   private usualTime(now: Millis): Millis {
     const {averageMs} = this.work;
     const age = this.running.meanAge(now);
-    return age > STUCK_RATIO * averageMs ? age : averageMs;
+    if (age > STUCK_RATIO * averageMs) return age;
+    // An old figure would keep gateways from asking for a newer one.
+    return now - this.work.learntAt > USUAL_MEMORY_MS ? 0 : averageMs;
   }
 
   private get usableSlots(): number {
--- a/packages/gate/src/slow_server_test.ts
+++ b/packages/gate/src/slow_server_test.ts
@@ -98,6 +98,20 @@
 });
 
 describe('a queue', () => {
+  it('expects late work to be overtaken', () => {
+    const gate = new Gate(0, {slots: 1, rules: RULES});
+    gate.admit(0, request(1));
+    gate.finish(200, 1, 'ok');
+    gate.admit(200, request(2));
+    gate.admit(200, request(3));
+    const late = {objective: 250, returning: true};
+    // Its turn comes after three more of 200 ms each, and the slot is free at 400.
+    const soon = gate.admit(210, request(4, {...late, deadline: 1_230}));
+    expect(soon).toEqual({type: 'refuse', kind: 'deadlineTooShort'});
+    const patient = gate.admit(210, request(5, {...late, deadline: 1_260}));
+    expect(patient.type).toBe('queued');
+  });
+
   it('counts with the ends of what runs, not with the average', () => {
     const gate = new Gate(0, {slots: 1, rules: RULES});
     gate.admit(0, request(1));
--- a/packages/gate/src/work_times.ts
+++ b/packages/gate/src/work_times.ts
@@ -13,7 +13,7 @@
 export class WorkTimes {
   private readonly routes = new Map<string, Millis>();
   private average: Millis | undefined;
-  private learntAt: Millis = 0;
+  private lastAt: Millis = 0;
 
   /** Takes the time of a finished request at usual speed. */
   learn(now: Millis, route: string, took: Millis): void {
@@ -36,11 +36,16 @@
     return this.average ?? 0;
   }
 
+  /** When a request last taught anything. */
+  get learntAt(): Millis {
+    return this.lastAt;
+  }
+
   private learnAverage(now: Millis, took: Millis): void {
-    const forgotten = 1 - Math.exp((this.learntAt - now) / MEMORY_MS);
+    const forgotten = 1 - Math.exp((this.lastAt - now) / MEMORY_MS);
     const weight = Math.max(MIN_WEIGHT, forgotten);
     const before = this.average ?? took;
     this.average = before + weight * (took - before);
-    this.learntAt = now;
+    this.lastAt = now;
   }
 }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -37,6 +37,7 @@
   started: boolean;
 }
 
+const SERVER_ERROR = 500;
 const CHECK_POLL_MS = 30;
 const MICROS_PER_MILLI = 1_000;
 /** Extra time given to the server beyond the deadline before its connection is closed, milliseconds. */
@@ -268,7 +269,7 @@
     const verdict = this.options.server.judge(req, status, headers, this.rules);
     const kind = refusalKind(verdict, load);
     // A streamed answer holds its slot until its end.
-    if (body.type === 'whole') this.release(ref, outcomeOf(kind));
+    if (body.type === 'whole') this.release(ref, outcomeOf(kind, status));
     if (kind !== undefined && body.type === 'whole') {
       this.tell(entry, {type: 'refused', kind});
       return;
@@ -381,14 +382,15 @@
   return load !== undefined && load.running < load.slots;
 }
 
-function outcomeOf(refusal: ErrorKind | undefined): Outcome {
+// A server error says nothing of how long work takes.
+function outcomeOf(refusal: ErrorKind | undefined, status: number): Outcome {
   switch (refusal) {
     case 'shedByServer':
       return 'shed';
     case 'rejectedByServer':
       return 'rejected';
     default:
-      return 'ok';
+      return status >= SERVER_ERROR ? 'failed' : 'ok';
   }
 }
 
