The platform's bundle leaves out the histogram library's WebAssembly and encodings

Cause: hdr-histogram-js loads a WebAssembly build of itself and pako, which a node never uses. Change: the bundle takes the library's own plain histograms alone.

--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -29,7 +29,10 @@
   format: 'cjs',
   minify: true,
   plugins: [withoutHttp2],
-  alias: {undici: './scripts/undici_clients.cjs'},
+  alias: {
+    undici: './scripts/undici_clients.cjs',
+    'hdr-histogram-js': './scripts/js_histograms.cjs',
+  },
   metafile: true,
   logLevel: 'error',
   define: {'process.env.NODE_ENV': '"production"'},
--- /dev/null
+++ b/scripts/js_histograms.cjs
@@ -0,0 +1,23 @@
+// The part of hdr-histogram-js that a node on the platform uses; its WebAssembly and encodings take several megabytes.
+const {
+  constructorFromBucketSize,
+} = require('../node_modules/hdr-histogram-js/dist/JsHistogramFactory');
+
+function build({
+  bitBucketSize,
+  autoResize,
+  lowestDiscernibleValue,
+  highestTrackableValue,
+  numberOfSignificantValueDigits,
+}) {
+  const Histogram = constructorFromBucketSize(bitBucketSize);
+  const histogram = new Histogram(
+    lowestDiscernibleValue,
+    highestTrackableValue,
+    numberOfSignificantValueDigits,
+  );
+  histogram.autoResize = autoResize;
+  return histogram;
+}
+
+module.exports = {build};
