A request that may crash servers is at one of them at a time

Cause: the known red test 'sets a request that crashes servers apart after two'. The supposed cause, news that takes longer than the hold of 500 ms, was wrong: each strike was known everywhere within 60 ms. Change: no hedged attempt and no resend for silence while a request is suspected; a call that begins as a suspect counts the death that made it one.

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -17,6 +17,8 @@
   readonly takeRetry: () => boolean;
   /** Takes one hedged attempt from the service's budget. */
   readonly takeHedge: () => boolean;
+  /** The request was in flight at a server that died before this call. */
+  readonly suspect?: boolean;
   /** Off: attempts with a lost connection are not resolved with their gate. */
   readonly resolving?: boolean;
 }
@@ -127,8 +129,8 @@
   private readonly maxAttempts: number;
   private retriesLeft: number;
   private reroutes = 0;
-  private suspect = false;
-  private deaths = 0;
+  private suspect: boolean;
+  private deaths: number;
   private told = false;
   private held: number | undefined;
   private lastRefusal: ErrorKind | undefined;
@@ -136,6 +138,8 @@
   constructor(private readonly options: CallPlanOptions) {
     this.maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
     this.retriesLeft = options.retriesLeft;
+    this.suspect = options.suspect ?? false;
+    this.deaths = this.suspect ? 1 : 0;
   }
 
   /** Takes an event; events after the answer are ignored. */
@@ -257,7 +261,7 @@
     const entry = this.entry(attempt);
     if (entry.state !== 'sent') return [];
     if (this.options.repeatable) {
-      return this.openCount() === 1 ? this.retry() : [];
+      return this.mayRunTwiceAtOnce() ? this.retry() : [];
     }
     if (this.options.resolving === false) return [];
     entry.state = 'resolving';
@@ -300,11 +304,16 @@
   }
 
   private hedge(): CallCommand[] {
-    if (!this.options.repeatable || this.openCount() !== 1) return [];
+    if (!this.options.repeatable || !this.mayRunTwiceAtOnce()) return [];
     if (!this.mayRunAgain()) return [];
     return this.options.takeHedge() ? [this.send(true)] : [];
   }
 
+  // A request that may crash servers is at one of them at a time.
+  private mayRunTwiceAtOnce(): boolean {
+    return !this.suspect && this.openCount() === 1;
+  }
+
   // The error of one attempt does not win over another that may still succeed.
   private answeredBy(attempt: number, error: boolean): CallCommand[] {
     const entry = this.entry(attempt);
--- a/packages/attempts/src/call_plan_test.ts
+++ b/packages/attempts/src/call_plan_test.ts
@@ -284,4 +284,45 @@
       runState: 'unknown',
     });
   });
+
+  describe('a request that was in flight at a server that died', () => {
+    const died = (attempt: number): CallEvent => ({
+      type: 'broke',
+      attempt,
+      kind: 'serverDied',
+    });
+    const types = (commands: unknown[]): unknown[] =>
+      (commands as Array<Array<{type: string}>>).map(of => of.map(c => c.type));
+
+    it('is at one server at a time', () => {
+      const told = play(plan({repeatable: true}), [
+        {type: 'begin'},
+        {type: 'sent', attempt: 0, server: 'a'},
+        died(0),
+        {type: 'sent', attempt: 1, server: 'b'},
+        {type: 'silent', attempt: 1},
+        {type: 'hedgeDue'},
+        died(1),
+      ]);
+      expect(types(told)).toEqual([
+        ['send'],
+        [],
+        ['send'],
+        [],
+        [],
+        [],
+        ['fail'],
+      ]);
+    });
+
+    it('is not sent again when another call had brought down the first', () => {
+      const told = play(plan({repeatable: true, suspect: true}), [
+        {type: 'begin'},
+        {type: 'sent', attempt: 0, server: 'a'},
+        {type: 'silent', attempt: 0},
+        died(0),
+      ]);
+      expect(types(told)).toEqual([['send'], [], [], ['fail']]);
+    });
+  });
 });
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -87,6 +87,7 @@
       takeHedge: () => router.takeHedge(),
       resolving: env.resolving,
       maxRuns: call.info.maxRuns,
+      suspect: env.standing() === 'suspect',
     });
   }
 
