--- a/packages/cli/src/commands/explain/index.ts
+++ b/packages/cli/src/commands/explain/index.ts
@@ -1,41 +1,75 @@
-/** `goldcresthill explain`: what was decided for a recent call and why. */
-import {command, flag, positional, string} from 'cmd-ts';
+/** `goldcresthill explain`: what was decided for a call and why. */
+import {array, command, flag, multioption, positional, string} from 'cmd-ts';
 import {EXIT} from '../../exit_codes';
+import {readInput} from '../../input';
 import {askNode, nodeOption} from '../../node_client';
 import {print, printError} from '../../output';
+import {elapsedMs, findDecisions} from './log_search';
 
 export const explainCommand = command({
   name: 'explain',
-  description: 'Show what the node that took a call decided for it.',
+  description: 'Show what was decided for a call, by a live node or from logs.',
   args: {
     callId: positional({
       type: string,
       displayName: 'CALL-ID',
-      description: 'header gh-call-id of the answer',
+      description:
+        'header gh-call-id of the answer; on the platform the id that the client sent',
     }),
     node: nodeOption,
+    logs: multioption({
+      type: array(string),
+      long: 'log',
+      description:
+        'file with log lines of any nodes, - for standard input; may be repeated',
+    }),
     asJson: flag({long: 'json', description: 'print JSON'}),
   },
-  handler: async ({callId, node, asJson}) => {
-    const answer = await askNode(
-      node,
-      `/explain/${encodeURIComponent(callId)}`,
-    );
-    if (answer.status !== 200) {
-      printError(`call ${callId} is not remembered by this node`);
-      process.exit(EXIT.unreachable);
-    }
-    const {decisions} = answer.body as {
-      decisions: Array<Record<string, unknown>>;
-    };
-    if (asJson) return print(JSON.stringify(answer.body));
-    decisions.forEach(decision => print(describe(decision)));
+  handler: async ({callId, node, logs, asJson}) => {
+    if (logs.length > 0) explainLogs(callId, logs, asJson);
+    else await explainLive(callId, node, asJson);
   },
 });
 
-function describe(decision: Record<string, unknown>): string {
+function explainLogs(
+  callId: string,
+  logs: readonly string[],
+  asJson: boolean,
+): void {
+  const decisions = findDecisions(logs.map(readInput).join('\n'), callId);
+  const [first] = decisions;
+  if (first === undefined) {
+    printError(`no decision on call ${callId} in these logs`);
+    process.exit(EXIT.unreachable);
+  }
+  if (asJson) return print(JSON.stringify({callId, decisions}));
+  for (const decision of decisions) {
+    const {node, fields} = decision;
+    print(`+${elapsedMs(first, decision)} ms ${node}: ${describe(fields)}`);
+  }
+}
+
+async function explainLive(
+  callId: string,
+  node: string,
+  asJson: boolean,
+): Promise<void> {
+  const answer = await askNode(node, `/explain/${encodeURIComponent(callId)}`);
+  if (answer.status !== 200) {
+    printError(`call ${callId} is not remembered by this node`);
+    process.exit(EXIT.unreachable);
+  }
+  const {decisions} = answer.body as {
+    decisions: Array<Record<string, unknown>>;
+  };
+  if (asJson) return print(JSON.stringify(answer.body));
+  decisions.forEach(decision => print(describe(decision)));
+}
+
+function describe(decision: Readonly<Record<string, unknown>>): string {
   const {what, reason, server, attempt, ...rest} = decision;
   const place = server === undefined ? '' : ` ${server}`;
   const number = attempt === undefined ? '' : ` (attempt ${attempt})`;
-  return `${what}${place}${number}: ${reason} ${JSON.stringify(rest)}`;
+  const why = reason === undefined ? '' : ` ${reason}`;
+  return `${what}${place}${number}:${why} ${JSON.stringify(rest)}`;
 }
--- /dev/null
+++ b/packages/cli/src/commands/explain/log_search.ts
@@ -0,0 +1,61 @@
+/** Decisions on one call, found in the log lines of any number of nodes. */
+
+/** A decision with the node that made it. */
+export interface LoggedDecision {
+  /** Time of the decision by the node's clock, ISO 8601. */
+  readonly timestamp: string;
+  readonly node: string;
+  /** What was decided and the inputs that decided it. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+const DECISION = 'decision';
+/** Fields that every line has, or that all lines found have in common. */
+const ENVELOPE: ReadonlySet<string> = new Set([
+  'timestamp',
+  'node',
+  'callId',
+  'level',
+  'message',
+]);
+
+/**
+ * Reads the decisions on a call out of log text, in order of time. Anything
+ * before the JSON of a line is skipped, as collectors of logs add prefixes, and
+ * so are lines that are cut short.
+ */
+export function findDecisions(text: string, callId: string): LoggedDecision[] {
+  return text
+    .split('\n')
+    .filter(line => line.includes(callId))
+    .flatMap(line => parseLine(line, callId) ?? [])
+    .sort((a, b) => a.timestamp.localeCompare(b.timestamp));
+}
+
+/** Milliseconds from one decision to another. */
+export function elapsedMs(from: LoggedDecision, to: LoggedDecision): number {
+  return Date.parse(to.timestamp) - Date.parse(from.timestamp);
+}
+
+function parseLine(line: string, callId: string): LoggedDecision | undefined {
+  const entry = parseObject(line.slice(line.indexOf('{')));
+  if (entry?.['message'] !== DECISION || entry['callId'] !== callId) {
+    return undefined;
+  }
+  const {timestamp, node} = entry;
+  if (typeof timestamp !== 'string' || typeof node !== 'string') {
+    return undefined;
+  }
+  const own = Object.entries(entry).filter(([name]) => !ENVELOPE.has(name));
+  return {timestamp, node, fields: Object.fromEntries(own)};
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isObject = typeof value === 'object' && value !== null;
+    return isObject ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/service_router_test.ts
@@ -0,0 +1,38 @@
+import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
+import {describe, expect, it} from 'vitest';
+import {ServiceRouter} from './service_router';
+import type {PickResult, ServerPlace} from './service_router';
+
+const place = (id: string): ServerPlace => ({
+  id,
+  nodeId: id,
+  domain: 'd',
+  slots: 10,
+  state: 'up',
+  networkUs: 500,
+  instance: id,
+});
+
+function result(id: string, outcome: PickResult['outcome']): PickResult {
+  return {id, elapsedMs: 1, report: undefined, atGateUs: undefined, outcome};
+}
+
+describe('ServiceRouter', () => {
+  it('one server rejects though it has room: calls go to the other', () => {
+    const router = new ServiceRouter(0, {
+      owner: 'gateway',
+      rules: DEFAULT_SERVICE_RULES,
+      random: () => 0,
+    });
+    router.setServers([place('rejecting'), place('sound')]);
+    const picked: string[] = [];
+    for (let now = 0; now < 100; now++) {
+      const id = router.pick(now)?.id ?? '';
+      const outcome = id === 'rejecting' ? 'rejected' : 'answered';
+      router.settle(now, result(id, outcome));
+      picked.push(id);
+    }
+    const rejected = picked.filter(id => id === 'rejecting').length;
+    expect(rejected).toBeLessThanOrEqual(5);
+  });
+});
