--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -8,10 +8,8 @@
   ServiceRules,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
-import {RunningRequests} from './running_requests';
-import {SlowSpells} from './slow_spells';
+import {Forecast} from './forecast';
 import {WaitingLine} from './waiting_line';
-import {WorkTimes} from './work_times';
 
 /** What the gate needs to know of a server. */
 export interface GateOptions {
@@ -67,17 +65,8 @@
 const PERCENT = 100;
 /** Share of the time left that a request waits at one gate. */
 const QUEUE_SHARE = 0.3;
-/** Work is planned with this many times its average, as half of all takes longer than that. */
-const WORK_MARGIN = 1.2;
-/** Each turn ahead of a late request counts that many times, as those in time overtake it. */
-const LATE_TURNS = 3;
-/** Work is expected to take this share of the time to the objective while nothing is known of it. */
-const UNKNOWN_WORK_SHARE = 0.35;
-/** What a server has told of its usual time holds for that long after its last answer, milliseconds. */
-const USUAL_MEMORY_MS = 1_000;
-/** A server is stuck when the mean age of its requests is this many averages. */
-const STUCK_RATIO = 4;
-const MICROS_PER_MILLI = 1_000;
+/** What waits already leaves only if it is late without any margin. */
+const NO_MARGIN = 1;
 
 interface Arrival extends GateRequest {
   readonly arrivedAt: Millis;
@@ -94,10 +83,8 @@
  * cause of a request reaching the server.
  */
 export class Gate {
-  private readonly running = new RunningRequests();
+  private readonly forecast = new Forecast();
   private readonly line = new WaitingLine<QueuedRequest>();
-  private readonly work = new WorkTimes();
-  private readonly spells = new SlowSpells();
   private readonly limit: AdaptiveLimit;
   private readonly slots: number;
   private rules: ServiceRules;
@@ -125,7 +112,7 @@
     const kind = this.refusal(now, req);
     if (kind !== undefined) return {type: 'refuse', kind};
     const mustWait = this.mustWait(now, req);
-    if ((mustWait || this.spells.isSlow) && this.isTooLate(now, req)) {
+    if ((mustWait || this.forecast.isSlow) && this.isTooLate(now, req)) {
       return {type: 'refuse', kind: 'queueFull'};
     }
     if (!mustWait) {
@@ -144,14 +131,10 @@
 
   /** A request has left the server. */
   finish(now: Millis, ref: number, outcome: Outcome): GateCommand[] {
-    const run = this.running.remove(ref);
-    if (run.suspect) this.suspects--;
-    if (outcome === 'ok') {
-      const took = (now - run.startedAt) / run.slowdown;
-      this.work.learn(now, run.route, took);
-    }
+    const {suspect} = this.forecast.finish(now, ref, outcome === 'ok');
+    if (suspect) this.suspects--;
     if (outcome !== 'rejected') {
-      this.limit.observe(now, outcome === 'shed', this.running.size + 1);
+      this.limit.observe(now, outcome === 'shed', this.inFlight + 1);
     }
     return this.withDrained(this.startWaiting(now));
   }
@@ -202,23 +185,22 @@
 
   /** The server says how many times longer than usual work takes that starts now. */
   learnSlowdown(now: Millis, slowdown: number): GateCommand[] {
-    this.spells.learn(now, slowdown);
+    this.forecast.learnSlowdown(now, slowdown);
     return this.withDrained(this.startWaiting(now));
   }
 
   /** Whether requests wait for the server to be as fast as usual again. */
   get isHolding(): boolean {
-    return this.spells.isSlow && this.line.size > 0;
+    return this.forecast.isSlow && this.line.size > 0;
   }
 
   /** Load as this gate counts it. */
   report(now: Millis): LoadReport {
     return {
-      inFlight: this.running.size,
+      inFlight: this.inFlight,
       queued: this.line.size,
       limit: this.limit.current(now),
-      serviceUs: Math.round(this.usualTime(now) * MICROS_PER_MILLI),
-      slowdown: this.spells.slowdown,
+      ...this.forecast.speed(now),
       state: this.status,
     };
   }
@@ -228,7 +210,7 @@
   }
 
   get inFlight(): number {
-    return this.running.size;
+    return this.forecast.inFlight;
   }
 
   private startWaiting(now: Millis): GateCommand[] {
@@ -261,61 +243,24 @@
   }
 
   private mustWait(now: Millis, req: Arrival): boolean {
-    if (!this.hasSlot(now) || !this.mayStart(now, req)) return true;
+    if (!this.hasSlot(now) || !this.forecast.mayStart(now, req)) return true;
     return this.nextStartable(now) !== undefined;
   }
 
   private nextStartable(now: Millis): QueuedRequest | undefined {
     return this.line.next(
-      req => this.endIfStarted(now, req),
-      req => this.mayStart(now, req),
+      req => this.forecast.endIfStarted(now, req),
+      req => this.forecast.mayStart(now, req),
     );
   }
 
-  /**
-   * Whether a request may start at the server's present speed. One that would
-   * be late, and hold its slot for long, waits for the spell of slowness to end.
-   */
-  private mayStart(now: Millis, req: Arrival): boolean {
-    if (!this.spells.isSlow) return true;
-    if (this.endIfStarted(now, req) <= req.objective) return true;
-    const afterMs = this.workMs(req) * this.spells.slowdownAfter;
-    return now + this.spells.expectedRest(now) + afterMs > req.deadline;
-  }
-
-  private endIfStarted(now: Millis, req: Arrival): Millis {
-    return now + this.workMs(req) * this.spells.slowdown;
-  }
-
   /** When a request is expected to end. */
-  private expectedEnd(now: Millis, req: Arrival, margin = WORK_MARGIN): Millis {
-    const startAt = this.expectedStart(now, req);
-    const workMs = this.workMs(req) * margin;
-    const slowEnd = startAt + workMs * this.spells.slowdown;
-    if (!this.spells.isSlow || slowEnd <= req.objective) return slowEnd;
-    const spellEnd = now + this.spells.expectedRest(now);
-    const afterMs = workMs * this.spells.slowdownAfter;
-    return Math.min(slowEnd, Math.max(startAt, spellEnd) + afterMs);
-  }
-
-  private expectedStart(now: Millis, req: Arrival): Millis {
+  private expectedEnd(now: Millis, req: Arrival, margin?: number): Millis {
     const limit = this.limit.current(now);
     const ahead = this.line.countBefore(req, other =>
-      this.endIfStarted(now, other),
+      this.forecast.endIfStarted(now, other),
     );
-    const isLate = this.endIfStarted(now, req) > req.objective;
-    const before = isLate ? ahead * LATE_TURNS : ahead;
-    const turnMs =
-      (this.work.averageMs || this.workMs(req)) * this.spells.slowdownAfter;
-    return this.running.startAfter(now, {before, limit, turnMs});
-  }
-
-  /** Expected time of a request at usual speed. */
-  private workMs(req: Arrival): Millis {
-    const known = this.work.of(req.route);
-    if (known !== undefined || req.route === '') return known ?? 0;
-    const objectiveMs = req.objective - req.arrivedAt;
-    return Math.max(0, objectiveMs * UNKNOWN_WORK_SHARE);
+    return this.forecast.expectedEnd(now, req, {ahead, limit, margin});
   }
 
   // A caller that has been refused before is not refused again for being late.
@@ -328,7 +273,7 @@
   private hasBecomeLate(now: Millis, req: QueuedRequest): boolean {
     if (this.options.reroutesWaiting === false || req.returning) return false;
     if (req.objective >= req.deadline) return false;
-    return this.expectedEnd(now, req, 1) > req.objective;
+    return this.expectedEnd(now, req, NO_MARGIN) > req.objective;
   }
 
   /** Takes a less urgent request out of a full queue. */
@@ -342,24 +287,14 @@
 
   private patienceMs(now: Millis, req: Arrival): Millis {
     if (this.options.reroutesWaiting === false) return req.deadline - now;
-    const {slowdownAfter} = this.spells;
-    const latestStart = req.objective - this.workMs(req) * slowdownAfter;
+    const latestStart = this.forecast.latestStart(req);
     const end = latestStart > now ? req.objective : req.deadline;
     const sharedMs = (end - now) * QUEUE_SHARE;
-    if (!this.spells.isSlow || end === req.deadline) return sharedMs;
+    if (!this.forecast.isSlow || end === req.deadline) return sharedMs;
     // It waits for the end of the spell, as long as it can be in time then.
     return Math.max(sharedMs, latestStart - now);
   }
 
-  /** Time of a request at usual speed; a server that hangs shows it by the age of what runs there. */
-  private usualTime(now: Millis): Millis {
-    const {averageMs} = this.work;
-    const age = this.running.meanAge(now);
-    if (age > STUCK_RATIO * averageMs) return age;
-    // An old figure would keep gateways from asking for a newer one.
-    return now - this.work.learntAt > USUAL_MEMORY_MS ? 0 : averageMs;
-  }
-
   private get usableSlots(): number {
     const share = this.rules.slotPercent / PERCENT;
     return Math.max(1, Math.floor(this.slots * share));
@@ -370,7 +305,7 @@
   }
 
   private hasSlot(now: Millis): boolean {
-    return this.running.size < this.limit.current(now);
+    return this.inFlight < this.limit.current(now);
   }
 
   private start(now: Millis, req: Arrival): void {
@@ -379,17 +314,8 @@
       'gate.drain',
       () => 'a start while leaving',
     );
-    const {route, suspect} = req;
-    const {slowdown} = this.spells;
-    const endsAt = this.endIfStarted(now, req);
-    this.running.add(req.ref, {
-      route,
-      startedAt: now,
-      slowdown,
-      endsAt,
-      suspect,
-    });
-    if (suspect) this.suspects++;
+    this.forecast.start(now, req.ref, req);
+    if (req.suspect) this.suspects++;
     this.assertBounds();
   }
 
@@ -403,7 +329,7 @@
   }
 
   private withDrained(commands: GateCommand[]): GateCommand[] {
-    const idle = this.running.size === 0 && this.line.size === 0;
+    const idle = this.inFlight === 0 && this.line.size === 0;
     if (this.status === 'draining' && idle && !this.drainedTold) {
       this.drainedTold = true;
       commands.push({type: 'drained'});
@@ -413,9 +339,9 @@
 
   private assertBounds(): void {
     invariant(
-      this.running.size <= this.slots,
+      this.inFlight <= this.slots,
       'gate.slots',
-      () => `${this.running.size} running on ${this.slots} slots`,
+      () => `${this.inFlight} running on ${this.slots} slots`,
     );
     invariant(
       this.line.size <= Math.max(this.queueBound, 1),
