--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -15,11 +15,8 @@
 import {LoadChecker} from './load_checker';
 import type {Announcement, AttemptRequest, AttemptResult} from './messages';
 import type {ServerConnections, ServerExchange} from './server_connections';
-import type {
-  AnswerVerdict,
-  ServerInterface,
-  ServerLoad,
-} from './server_interface';
+import type {ServerInterface, ServerLoad} from './server_interface';
+import {outcomeOf, refusalKind} from './server_refusals';
 
 /** What happens at a link, told to the gate task. */
 export interface LinkEvents {
@@ -37,7 +34,6 @@
   started: boolean;
 }
 
-const SERVER_ERROR = 500;
 const CHECK_POLL_MS = 30;
 const MICROS_PER_MILLI = 1_000;
 /** Extra time given to the server beyond the deadline before its connection is closed, milliseconds. */
@@ -362,38 +358,6 @@
   }
 }
 
-/** Why a server has not run a request; undefined if it has. */
-function refusalKind(
-  verdict: AnswerVerdict,
-  load: ServerLoad | undefined,
-): ErrorKind | undefined {
-  switch (verdict) {
-    case 'notRun':
-      return hasRoom(load) ? 'rejectedByServer' : 'shedByServer';
-    case 'otherInstance':
-      return 'serverUnreachable';
-    case 'answer':
-    case 'invalid':
-      return undefined;
-  }
-}
-
-function hasRoom(load: ServerLoad | undefined): boolean {
-  return load !== undefined && load.running < load.slots;
-}
-
-// A server error says nothing of how long work takes.
-function outcomeOf(refusal: ErrorKind | undefined, status: number): Outcome {
-  switch (refusal) {
-    case 'shedByServer':
-      return 'shed';
-    case 'rejectedByServer':
-      return 'rejected';
-    default:
-      return status >= SERVER_ERROR ? 'failed' : 'ok';
-  }
-}
-
 type DistributiveOmit<T, K extends PropertyKey> = T extends unknown
   ? Omit<T, K>
   : never;
