Ports of tests lie outside the range of outgoing connections

Change: ports below 32,768, by blocks that differ between processes and workers, each given once. Test: free_ports_test.ts, which failed first (ports lay above 32,768).

--- a/packages/test-utils/src/free_ports.ts
+++ b/packages/test-utils/src/free_ports.ts
@@ -1,18 +1,35 @@
-/** Ports that were free a moment ago. */
+/** Ports that nobody else takes before they are used. */
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+import {threadId} from 'node:worker_threads';
 
-/** Finds ports on the loopback interface that nobody listens on. */
+/** Ports of one process or worker, so that test files that run at once do not meet. */
+const BLOCK_SIZE = 200;
+const BLOCKS = 100;
+/** All blocks lie below 32,768, where Linux takes ports for outgoing connections. */
+const FIRST_PORT = 10_000;
+/** Parts processes that are started one after the other; without a common divisor with the blocks. */
+const PROCESS_STRIDE = 7;
+const HOST = '127.0.0.1';
+
+const PORTS = BLOCKS * BLOCK_SIZE;
+
+let next = ((process.pid * PROCESS_STRIDE + threadId) % BLOCKS) * BLOCK_SIZE;
+
+/** Finds ports on the loopback interface that nobody listens on; each is given once. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  await Promise.all(
-    servers.map(
-      server => new Promise<void>(done => server.listen(0, '127.0.0.1', done)),
-    ),
-  );
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(server => new Promise(done => server.close(done))),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + (next++ % PORTS);
+    if (await canListen(port)) ports.push(port);
+  }
   return ports;
 }
+
+function canListen(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise(done => {
+    server.once('error', () => done(false));
+    server.listen(port, HOST, () => server.close(() => done(true)));
+  });
+}
