--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -248,10 +248,15 @@
   private startCall(gateway: TrialGateway): void {
     this.calls++;
     const {router} = gateway;
-    const call = new TrialCall(this.clock.now, router, this.rules);
+    const call = new TrialCall(
+      this.clock.now,
+      router,
+      this.rules,
+      () => this.clock.now,
+    );
     call.onEnd = ok => this.endCall(call.startedAt, ok);
     call.onSend = command => this.sendAttempt(gateway, call, command);
-    router.recordCall();
+    router.recordCall(this.clock.now);
     call.begin();
     const hedgeAfter = router.hedgeAfterMs;
     if (Number.isFinite(hedgeAfter)) {
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -1,5 +1,5 @@
 /** Budgets that are never exceeded: each grant is asserted against its bound. */
 export {TokenBucket} from './token_bucket';
 export type {TokenBucketOptions} from './token_bucket';
-export {RatioBudget} from './ratio_budget';
-export type {RatioBudgetOptions} from './ratio_budget';
+export {WindowBudget} from './window_budget';
+export type {WindowBudgetOptions} from './window_budget';
--- /dev/null
+++ b/packages/budgets/src/window_budget.ts
@@ -0,0 +1,112 @@
+/** A budget that is a share of the traffic of a sliding window. */
+import {invariant} from '@goldcresthill/types';
+import type {Millis} from '@goldcresthill/types';
+
+/** The share, and what may be granted besides it. */
+export interface WindowBudgetOptions {
+  /** Extra work per unit of traffic, percent. */
+  readonly percent: number;
+  /** Extra work in each window that no traffic has to pay for. */
+  readonly burst?: number;
+  /** Length of the window, milliseconds. */
+  readonly windowMs?: Millis;
+}
+
+const PERCENT = 100;
+const DEFAULT_BURST = 10;
+const DEFAULT_WINDOW_MS = 10_000;
+/** Parts that a window is counted in. */
+const CELLS = 20;
+/** Parts kept: a window that ends within a part also touches one more. */
+const KEPT = CELLS + 1;
+const EPSILON = 1e-6;
+
+/**
+ * Grants in any window at most `burst` and a share of the traffic of a window
+ * that ends with it, so that the grants of several budgets add up to the share
+ * of their traffic and the sum of their bursts.
+ */
+export class WindowBudget {
+  private readonly traffic = new Float64Array(KEPT);
+  private readonly granted = new Float64Array(KEPT);
+  private cell = 0;
+  private share: number;
+  private burst: number;
+  private cellMs: Millis;
+
+  constructor(options: WindowBudgetOptions) {
+    this.share = options.percent / PERCENT;
+    this.burst = options.burst ?? DEFAULT_BURST;
+    this.cellMs = (options.windowMs ?? DEFAULT_WINDOW_MS) / CELLS;
+  }
+
+  /** Records one unit of traffic. */
+  record(now: Millis): void {
+    this.moveTo(now);
+    this.add(this.traffic);
+  }
+
+  /** Takes one unit of extra work if the share allows it. */
+  take(now: Millis): boolean {
+    this.moveTo(now);
+    if (this.share === 0) return false;
+    if (this.spent + 1 > this.allowance + EPSILON) return false;
+    this.add(this.granted);
+    invariant(
+      this.spent <= this.allowance + EPSILON,
+      'budget',
+      () => `${this.spent} granted of ${this.allowance} in a window`,
+    );
+    return true;
+  }
+
+  /** Changes the share; what has been granted still counts. */
+  configure(options: WindowBudgetOptions): void {
+    this.share = options.percent / PERCENT;
+    this.burst = options.burst ?? DEFAULT_BURST;
+    const cellMs = (options.windowMs ?? DEFAULT_WINDOW_MS) / CELLS;
+    // Cells of another length are counted as the newest, which grants no more than before.
+    if (cellMs !== this.cellMs) this.restart(cellMs);
+  }
+
+  /** Extra work granted in the window that ends now. */
+  get spent(): number {
+    return sum(this.granted);
+  }
+
+  // The oldest part lies only partly in the window, so that its traffic is left out.
+  private get allowance(): number {
+    const oldest = this.traffic[(this.cell + 1) % KEPT] ?? 0;
+    return this.share * (sum(this.traffic) - oldest) + this.burst;
+  }
+
+  private restart(cellMs: Millis): void {
+    const spent = this.spent;
+    this.cell = Math.floor((this.cell * this.cellMs) / cellMs);
+    this.cellMs = cellMs;
+    this.traffic.fill(0);
+    this.granted.fill(0);
+    this.granted[this.cell % KEPT] = spent;
+  }
+
+  private add(counts: Float64Array): void {
+    const index = this.cell % KEPT;
+    counts[index] = (counts[index] ?? 0) + 1;
+  }
+
+  // A clock that steps back counts into the newest part.
+  private moveTo(now: Millis): void {
+    const cell = Math.floor(now / this.cellMs);
+    if (cell <= this.cell) return;
+    const passed = Math.min(KEPT, cell - this.cell);
+    for (let i = 0; i < passed; i++) {
+      this.traffic[(cell - i) % KEPT] = 0;
+      this.granted[(cell - i) % KEPT] = 0;
+    }
+    this.cell = cell;
+  }
+}
+
+function sum(counts: Float64Array): number {
+  return counts.reduce((all, one) => all + one, 0);
+}
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -36,6 +36,7 @@
 
   // The fleet would not run it.
   noConfiguration: notRun(503),
+  routeUnusable: notRun(503),
   noServer: notRun(503),
   overloaded: notRun(503),
   queueFull: notRun(503),
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -83,8 +83,8 @@
     this.plan = new CallPlan({
       repeatable: call.info.repeatable,
       retriesLeft: call.info.retriesLeft,
-      takeRetry: () => router.takeRetry(),
-      takeHedge: () => router.takeHedge(),
+      takeRetry: () => router.takeRetry(env.timers.now()),
+      takeHedge: () => router.takeHedge(env.timers.now()),
       resolving: env.resolving,
       maxRuns: call.info.maxRuns,
       suspect: env.standing() === 'suspect',
@@ -97,7 +97,7 @@
       this.timedOut = true;
       this.event({type: 'deadline'});
     });
-    this.env.router.recordCall();
+    this.env.router.recordCall(this.env.timers.now());
     this.event({type: 'begin'});
     const hedgeAfter = this.env.router.hedgeAfterMs;
     if (this.call.info.repeatable && hedgeAfter < left) {
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {OwnerAnswer} from '@goldcresthill/attempts';
 import {BalancerError} from '@goldcresthill/errors';
+import {isGone} from '@goldcresthill/membership';
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import type {ObjectStore} from '@goldcresthill/object-store';
@@ -222,7 +223,9 @@
       cutDomains: this.cutDomains,
       rules: this.rules,
     });
+    const nodes = Math.max(1, this.records.filter(r => !isGone(r)).length);
     for (const [service, router] of this.routers) {
+      router.shareAmong(nodes);
       router.setServers(places.get(service) ?? []);
     }
   }
--- a/packages/routes/src/route.ts
+++ b/packages/routes/src/route.ts
@@ -14,6 +14,7 @@
   readonly host: string;
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
+  /** Empty if the route could not be read; its requests are refused. */
   readonly services: readonly WeightedService[];
   /** Whether running a call twice is harmless. */
   readonly repeatable: boolean;
--- a/packages/routing/src/probe_planner.ts
+++ b/packages/routing/src/probe_planner.ts
@@ -1,5 +1,6 @@
 /** Decides when load is asked for, under a hard budget. */
-import {RatioBudget, TokenBucket} from '@goldcresthill/budgets';
+import {TokenBucket, WindowBudget} from '@goldcresthill/budgets';
+import type {WindowBudgetOptions} from '@goldcresthill/budgets';
 import type {Millis, ServiceRules} from '@goldcresthill/types';
 import type {Random} from './routing_policy';
 import type {ServerView} from './server_view';
@@ -8,24 +9,26 @@
 export const PROBE_BYTES = 400;
 /** A report younger than this is not asked for again, milliseconds. */
 const FRESH_MS = 5;
+/** Probes in a window that no call has to pay for. */
+const PROBE_BURST = 5;
 
 /** Both budgets have to allow a probe: a share of calls, and a rate in probes and bytes. */
 export class ProbePlanner {
   private readonly rate: TokenBucket;
   private readonly bytes: TokenBucket;
-  private readonly share: RatioBudget;
+  private readonly share: WindowBudget;
   private sent = 0;
 
   constructor(now: Millis, rules: ServiceRules) {
     this.rate = new TokenBucket(now, {perSecond: rules.probesPerSecond});
     this.bytes = new TokenBucket(now, {perSecond: rules.probeBytesPerSecond});
-    this.share = new RatioBudget({percent: rules.probePercent, burst: 5});
+    this.share = new WindowBudget(shareOf(rules));
   }
 
   configure(now: Millis, rules: ServiceRules): void {
     this.rate.configure(now, {perSecond: rules.probesPerSecond});
     this.bytes.configure(now, {perSecond: rules.probeBytesPerSecond});
-    this.share.configure(rules.probePercent);
+    this.share.configure(shareOf(rules));
   }
 
   /** Servers to probe now, after a call; the oldest knowledge of two goes first. */
@@ -34,7 +37,7 @@
     candidates: readonly ServerView[],
     random: Random,
   ): ServerView[] {
-    this.share.record();
+    this.share.record(now);
     const chosen: ServerView[] = [];
     while (chosen.length < candidates.length) {
       const view = stalestOfTwo(candidates, random);
@@ -54,11 +57,15 @@
   private takeAll(now: Millis): boolean {
     if (this.rate.available(now) < 1) return false;
     if (this.bytes.available(now) < PROBE_BYTES) return false;
-    if (!this.share.take()) return false;
+    if (!this.share.take(now)) return false;
     return this.rate.take(now) && this.bytes.take(now, PROBE_BYTES);
   }
 }
 
+function shareOf({probePercent}: ServiceRules): WindowBudgetOptions {
+  return {percent: probePercent, burst: PROBE_BURST};
+}
+
 function stalestOfTwo(
   candidates: readonly ServerView[],
   random: Random,
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -1,5 +1,6 @@
 /** Aggregate that chooses servers of one service for one gateway. */
-import {RatioBudget} from '@goldcresthill/budgets';
+import {WindowBudget} from '@goldcresthill/budgets';
+import type {WindowBudgetOptions} from '@goldcresthill/budgets';
 import {invariant} from '@goldcresthill/types';
 import type {
   LoadReport,
@@ -102,8 +103,11 @@
   private active: ServerView[] = [];
   private rules: ServiceRules;
   private policy: RoutingPolicy;
-  private readonly retry: RatioBudget;
-  private readonly hedging: RatioBudget;
+  /** Resends and hedged attempts. */
+  private readonly retry: WindowBudget;
+  /** The part of it that hedged attempts may take. */
+  private readonly hedging: WindowBudget;
+  private nodes = Infinity;
   private readonly hedgeAfter: LatencyQuantile;
   private readonly median = new LatencyQuantile(MEDIAN_QUANTILE);
   readonly probes: ProbePlanner;
@@ -114,14 +118,8 @@
   ) {
     this.rules = options.rules;
     this.policy = options.policy ?? policyOf(options.rules.policy);
-    this.retry = new RatioBudget({
-      percent: options.rules.retryPercent,
-      burst: options.rules.retryBurst,
-    });
-    this.hedging = new RatioBudget({
-      percent: options.rules.hedgePercent,
-      burst: Math.min(HEDGE_BURST, options.rules.retryBurst),
-    });
+    this.retry = new WindowBudget(this.retryOptions);
+    this.hedging = new WindowBudget(this.hedgeOptions);
     this.hedgeAfter = new LatencyQuantile(options.rules.hedgeQuantile);
     this.probes = new ProbePlanner(now, options.rules);
   }
@@ -132,8 +130,8 @@
     this.rules = rules;
     if (policyChanged)
       this.policy = this.options.policy ?? policyOf(rules.policy);
-    this.retry.configure(rules.retryPercent);
-    this.hedging.configure(rules.hedgePercent);
+    this.retry.configure(this.retryOptions);
+    this.hedging.configure(this.hedgeOptions);
     this.hedgeAfter.configure(rules.hedgeQuantile);
     this.probes.configure(now, rules);
     this.rebuild();
@@ -152,6 +150,14 @@
     this.rebuild();
   }
 
+  /** Takes the number of nodes known, this one included, among which the pool of resends is divided. */
+  shareAmong(nodes: number): void {
+    if (nodes === this.nodes) return;
+    this.nodes = nodes;
+    this.retry.configure(this.retryOptions);
+    this.hedging.configure(this.hedgeOptions);
+  }
+
   /** Chooses a server; undefined if none can take a call. */
   pick(
     now: Millis,
@@ -194,9 +200,9 @@
   }
 
   /** Records a call for the budgets that are shares of traffic. */
-  recordCall(): void {
-    this.retry.record();
-    this.hedging.record();
+  recordCall(now: Millis): void {
+    this.retry.record(now);
+    this.hedging.record(now);
   }
 
   /** Takes what an attempt taught. Each pick is matched by one result. */
@@ -224,12 +230,12 @@
     return this.probes.plan(now, this.active, this.options.random);
   }
 
-  takeRetry(): boolean {
-    return this.retry.take();
+  takeRetry(now: Millis): boolean {
+    return this.retry.take(now);
   }
 
-  takeHedge(): boolean {
-    return this.hedging.take();
+  takeHedge(now: Millis): boolean {
+    return this.hedging.take(now) && this.retry.take(now);
   }
 
   /** Time after which a hedged attempt pays, milliseconds; infinite when off. */
@@ -283,6 +289,21 @@
     }
   }
 
+  private get retryOptions(): WindowBudgetOptions {
+    const {retryPercent, retryBurst, retryPool, retryWindowMs} = this.rules;
+    return {
+      percent: retryPercent,
+      burst: retryBurst + retryPool / this.nodes,
+      windowMs: retryWindowMs,
+    };
+  }
+
+  private get hedgeOptions(): WindowBudgetOptions {
+    const {hedgePercent, retryWindowMs} = this.rules;
+    const burst = Math.min(HEDGE_BURST, this.retryOptions.burst ?? 0);
+    return {percent: hedgePercent, burst, windowMs: retryWindowMs};
+  }
+
   private usable(exclude: readonly string[]): ServerView[] {
     const up = this.active.filter(view => view.state === 'up');
     return exclude.length === 0 ? up : up.filter(v => !exclude.includes(v.id));
--- a/packages/types/src/service.ts
+++ b/packages/types/src/service.ts
@@ -21,8 +21,12 @@
   readonly maxRetries: number;
   /** Resends as a share of calls, percent. */
   readonly retryPercent: number;
-  /** Resends that a node may make at once without calls that pay for them. */
+  /** Resends that a node may make in a window without calls that pay for them. */
   readonly retryBurst: number;
+  /** The same for the whole fleet, divided among the nodes that are known. */
+  readonly retryPool: number;
+  /** Window over which resends are counted, milliseconds. */
+  readonly retryWindowMs: number;
   /** Hedged attempts as a share of calls, percent; 0 turns hedging off. */
   readonly hedgePercent: number;
   /** Quantile of the service's latency after which a call is hedged, percent. */
@@ -74,6 +78,8 @@
   maxRetries: 3,
   retryPercent: 20,
   retryBurst: 10,
+  retryPool: 0,
+  retryWindowMs: 10_000,
   hedgePercent: 5,
   hedgeQuantile: 95,
   probesPerSecond: 5,
