--- a/packages/budgets/src/window_budget.ts
+++ b/packages/budgets/src/window_budget.ts
@@ -50,7 +50,8 @@
   take(now: Millis): boolean {
     this.moveTo(now);
     if (this.share === 0) return false;
-    if (this.spent + 1 > this.allowance + EPSILON) return false;
+    const allowed = this.spent + 1 <= this.allowance + EPSILON;
+    if (!allowed) return false;
     this.add(this.granted);
     invariant(
       this.spent <= this.allowance + EPSILON,
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -189,6 +189,11 @@
     return this.withDrained(this.startWaiting(now));
   }
 
+  /** Whether the server is slower than it is otherwise. */
+  get isSlow(): boolean {
+    return this.forecast.isSlow;
+  }
+
   /** Whether requests wait for the server to be as fast as usual again. */
   get isHolding(): boolean {
     return this.forecast.isSlow && this.line.size > 0;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -11,3 +11,5 @@
 export {RumorQueue} from './rumor_queue';
 export {isMostlySuspect} from './cut_detector';
 export {ownerOf, watchersOf} from './watchers';
+export {WatchDuty} from './watch_duty';
+export type {WatchDutyOptions} from './watch_duty';
--- a/packages/membership/src/member_record.ts
+++ b/packages/membership/src/member_record.ts
@@ -13,8 +13,13 @@
   readonly version: number;
   readonly status: MemberStatus;
   readonly servers: readonly ServerRecord[];
+  /** Server processes of that VM that have said that they leave, also to earlier processes of the node. */
+  readonly leaving?: readonly string[];
 }
 
+/** Server processes of one VM that are remembered as leaving. */
+const MAX_LEAVING = 8;
+
 const RANK: Record<MemberStatus, number> = {
   alive: 0,
   suspect: 1,
@@ -38,6 +43,17 @@
   return b === undefined || compareRecords(a, b) > 0;
 }
 
+/** A record with the leavings of another of the same node, which stay known beyond the process that took them. */
+export function withLeavings(
+  record: MemberRecord,
+  other: MemberRecord | undefined,
+): MemberRecord {
+  const own = record.leaving ?? [];
+  const more = (other?.leaving ?? []).filter(i => !own.includes(i));
+  if (more.length === 0) return record;
+  return {...record, leaving: [...more, ...own].slice(-MAX_LEAVING)};
+}
+
 /** Whether a record only says that a node is no more. */
 export function isGone(record: MemberRecord): boolean {
   return record.status === 'dead' || record.status === 'left';
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -1,7 +1,13 @@
 /** All records a node holds, with a digest that is kept up to date. */
 import type {Millis} from '@goldcresthill/types';
 import type {MemberRecord} from './member_record';
-import {hashText, isGone, isNewer, recordHash} from './member_record';
+import {
+  hashText,
+  isGone,
+  isNewer,
+  recordHash,
+  withLeavings,
+} from './member_record';
 
 /** Parts that the table's digest is split into. */
 export const BUCKETS = 64;
@@ -23,7 +29,10 @@
     if (!isNewer(record, known)) return false;
     if (known !== undefined) this.toggle(known);
     this.toggle(record);
-    this.held.set(nodeId, {record, changedAt: now});
+    this.held.set(nodeId, {
+      record: withLeavings(record, known),
+      changedAt: now,
+    });
     return true;
   }
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,4 +1,5 @@
 /** Aggregate that holds the fleet as one node sees it and decides whom to tell. */
+import {isDeepStrictEqual} from 'node:util';
 import {TokenBucket} from '@goldcresthill/budgets';
 import {invariant} from '@goldcresthill/types';
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
@@ -7,7 +8,7 @@
 import {BASE_BYTES, messageBytes} from './exchange_message';
 import type {ExchangeMessage, MemberNews} from './exchange_message';
 import type {MemberRecord, MemberStatus} from './member_record';
-import {isGone, isNewer} from './member_record';
+import {isGone, isNewer, withLeavings} from './member_record';
 import {MemberTable} from './member_table';
 import type {MemberCommand, MembershipOptions} from './membership_types';
 import {NewsDesk} from './news_desk';
@@ -55,7 +56,7 @@
   ) {
     this.roundMs = options.roundMs ?? DEFAULT_ROUND_MS;
     this.suspicionMs = options.suspicionMs ?? this.roundMs * SUSPICION_ROUNDS;
-    this.desk = new NewsDesk(this.table, options.random);
+    this.desk = new NewsDesk(this.table, options);
     this.contacts = new DomainContacts(options.self);
     const perSecond = options.bytesPerSecond ?? DEFAULT_BYTES_PER_SECOND;
     this.bytes = new TokenBucket(now, {
@@ -111,7 +112,9 @@
     answer: ExchangeMessage,
   ): MemberCommand[] {
     this.misses.delete(peer);
-    return this.absorb(now, answer);
+    const commands = this.absorb(now, answer);
+    if (this.desk.owes(peer)) this.send(now, peer, commands, undefined);
+    return commands;
   }
 
   /** A peer did not answer in time. */
@@ -147,6 +150,17 @@
     return this.changeSelf(now, {servers});
   }
 
+  /** Server processes of this VM that have said that they leave. */
+  setLeaving(now: Millis, leaving: readonly string[]): MemberCommand[] {
+    if (isDeepStrictEqual(leaving, this.self.leaving ?? [])) return [];
+    return this.changeSelf(now, {leaving});
+  }
+
+  /** Tells news again that newcomers may not have heard of. */
+  repeat(news: MemberNews): void {
+    this.desk.addNews(news);
+  }
+
   /** This node leaves. */
   leave(now: Millis): MemberCommand[] {
     const commands = this.changeSelf(now, {status: 'left', servers: []});
@@ -155,10 +169,12 @@
   }
 
   /** This node holds a configuration of this revision and tells others at once. */
-  setConfigRevision(revision: number): void {
-    if (revision <= this.configRevision) return;
+  setConfigRevision(now: Millis, revision: number): MemberCommand[] {
+    if (revision <= this.configRevision) return [];
     this.configRevision = revision;
-    this.pushDue = true;
+    const commands: MemberCommand[] = [];
+    this.push(now, commands);
+    return commands;
   }
 
   /** Spreads news at once; the caller has checked that it is new. */
@@ -203,7 +219,9 @@
 
   private changeSelf(
     now: Millis,
-    change: Partial<Pick<MemberRecord, 'servers' | 'status' | 'incarnation'>>,
+    change: Partial<
+      Pick<MemberRecord, 'servers' | 'status' | 'incarnation' | 'leaving'>
+    >,
   ): MemberCommand[] {
     this.self = {...this.self, ...change, version: this.self.version + 1};
     this.table.merge(now, this.self);
@@ -268,6 +286,7 @@
   ): void {
     const {nodeId} = record.address;
     if (nodeId === this.self.address.nodeId) {
+      this.recall(now, record, commands);
       this.refute(now, record, commands);
       return;
     }
@@ -275,6 +294,13 @@
     // A tombstone of a node that is not known is of no use.
     if (before === undefined && isGone(record)) return;
     if (!this.table.merge(now, record)) return;
+    // A process that has just started is told what its node had said before.
+    if (
+      before?.leaving !== undefined &&
+      before.incarnation !== record.incarnation
+    ) {
+      this.desk.owe(nodeId);
+    }
     invariant(
       before === undefined || isNewer(record, before),
       'membership.order',
@@ -297,6 +323,20 @@
     }
   }
 
+  // What an earlier process of this node has told of its servers still holds.
+  private recall(
+    now: Millis,
+    record: MemberRecord,
+    commands: MemberCommand[],
+  ): void {
+    const {leaving = []} = withLeavings(this.self, record);
+    const known = this.self.leaving ?? [];
+    const instances = leaving.filter(i => !known.includes(i));
+    if (instances.length === 0) return;
+    commands.push({type: 'leaving', instances});
+    commands.push(...this.changeSelf(now, {leaving}));
+  }
+
   // Only the node itself may say that it is alive: it outbids what is said of it.
   private refute(
     now: Millis,
--- a/packages/membership/src/membership_types.ts
+++ b/packages/membership/src/membership_types.ts
@@ -24,6 +24,8 @@
       readonly reason: string;
     }
   | {readonly type: 'news'; readonly news: MemberNews}
+  /** Server processes of this VM leave, as an earlier process of this node had told. */
+  | {readonly type: 'leaving'; readonly instances: readonly string[]}
   | {
       readonly type: 'fetchConfig';
       readonly from: NodeAddress;
@@ -38,6 +40,8 @@
   readonly roundMs?: number;
   readonly suspicionMs?: number;
   readonly bytesPerSecond?: number;
+  /** Largest message, bytes. */
+  readonly messageBytes?: number;
   /** Nodes watched in the own domain. */
   readonly successors?: number;
   /** Off: a lost domain is taken for that many deaths. */
--- a/packages/membership/src/news_desk.ts
+++ b/packages/membership/src/news_desk.ts
@@ -14,11 +14,18 @@
 
 /** How often one item of news is told. */
 const TELL_LIMIT = 4;
-/** Bytes of one message. */
-const MESSAGE_BYTES = 4_096;
+/** Bytes of one message, unless given. */
+const DEFAULT_MESSAGE_BYTES = 4_096;
 /** Bytes of news other than records in one message. */
 const MAX_NEWS_BYTES = 1_024;
 
+/** What a desk starts from. */
+export interface NewsDeskOptions {
+  readonly random: () => number;
+  /** Largest message, bytes. */
+  readonly messageBytes?: number;
+}
+
 /** What goes into each message besides news. */
 export interface MessageContext {
   readonly self: NodeAddress;
@@ -32,12 +39,14 @@
   private readonly hot = new RumorQueue<MemberRecord>();
   private readonly news = new RumorQueue<MemberNews>();
   private readonly differing = new Set<string>();
+  /** Peers that are to be sent their own record. */
+  private readonly owed = new Set<string>();
   /** Digests of peers whose tables differ, until they have been answered. */
   private readonly peerBuckets = new Map<string, readonly number[]>();
 
   constructor(
     private readonly table: MemberTable,
-    private readonly random: () => number,
+    private readonly options: NewsDeskOptions,
   ) {}
 
   /** Whether there is news that has not been told often enough. */
@@ -54,6 +63,15 @@
     this.news.add(`${news.type}:${news.fingerprint}:${instance}`, news);
   }
 
+  /** The next message to a peer is to hold its own record. */
+  owe(peer: string): void {
+    this.owed.add(peer);
+  }
+
+  owes(peer: string): boolean {
+    return this.owed.has(peer);
+  }
+
   /** Notes how the table of a message's sender compares with the own one. */
   compare(message: ExchangeMessage): void {
     const peer = message.from.nodeId;
@@ -66,16 +84,19 @@
 
   /** The next message to a peer. */
   compose(peer: string, context: MessageContext): ExchangeMessage {
-    let room = Math.min(MESSAGE_BYTES, context.bytesLeft - BASE_BYTES);
+    const {messageBytes = DEFAULT_MESSAGE_BYTES} = this.options;
+    let room = Math.min(messageBytes, context.bytesLeft) - BASE_BYTES;
     const newsRoom = Math.min(room, MAX_NEWS_BYTES);
     const news = this.news.take(TELL_LIMIT, newsRoom, () => NEWS_BYTES);
     room -= news.length * NEWS_BYTES;
     const differs = this.differing.has(peer);
     const buckets = differs && room > BUCKETS * BYTES_PER_BUCKET;
     if (buckets) room -= BUCKETS * BYTES_PER_BUCKET;
+    const owed = this.takeOwed(peer);
+    room -= owed.reduce((sum, record) => sum + recordBytes(record), 0);
     const records = this.hot.take(TELL_LIMIT, Math.max(0, room), recordBytes);
     room -= records.reduce((sum, record) => sum + recordBytes(record), 0);
-    records.push(...this.missingRecords(peer, room));
+    records.push(...owed, ...this.missingRecords(peer, room));
     return {
       from: context.self,
       records,
@@ -88,6 +109,11 @@
     };
   }
 
+  private takeOwed(peer: string): MemberRecord[] {
+    const record = this.owed.delete(peer) ? this.table.get(peer) : undefined;
+    return record === undefined ? [] : [record];
+  }
+
   /** Records of the parts that a peer has shown to differ. */
   private missingRecords(peer: string, room: number): MemberRecord[] {
     const digests = this.peerBuckets.get(peer);
@@ -95,7 +121,7 @@
     this.peerBuckets.delete(peer);
     const records: MemberRecord[] = [];
     let left = room;
-    const start = Math.floor(this.random() * BUCKETS);
+    const start = Math.floor(this.options.random() * BUCKETS);
     for (let i = 0; i < BUCKETS; i++) {
       const bucket = (start + i) % BUCKETS;
       if (digests[bucket] === this.table.bucketDigests[bucket]) continue;
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -16,8 +16,10 @@
   readonly path: string;
   /** Reads the object; fails with what is wrong with it. */
   readonly decode: (text: string) => Result<T, string>;
-  /** Nodes of the fleet, which watch in turn. */
-  readonly nodes: () => number;
+  /** Whether this node is to wait for changes at the store, rather than hear of them from others. */
+  readonly isWatcher: () => boolean;
+  /** Nodes that watch, in turn. */
+  readonly watchers: () => number;
   /** Rises from one configuration to the next. */
   readonly versionOf: (config: T) => number;
   readonly onConfig: (config: T, source: string) => void;
@@ -27,7 +29,9 @@
   readonly onInvalid: (reason: string) => void;
 }
 
-/** Time after which some node of the fleet renews its watch, so that watches gone silent are noticed, milliseconds. */
+/** Interval at which a node looks whether it has become a watcher, milliseconds. */
+const IDLE_MS = 250;
+/** Time after which some watcher of the fleet renews its watch, so that watches gone silent are noticed, milliseconds. */
 const FLEET_RENEWAL_MS = 1_500;
 const MIN_WATCH_MS = 3_000;
 /** Below the longest wait that the store allows, milliseconds. */
@@ -90,10 +94,12 @@
   /** One read; answers how long to wait before the next, milliseconds. */
   private async step(): Promise<number> {
     const {breaker, timers, store, path} = this.options;
+    const watching = this.options.isWatcher();
+    if (!watching && this.held !== undefined) return IDLE_MS;
     if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
     const read =
-      this.revision === 0
-        ? await store.get(path)
+      this.revision === 0 || !watching
+        ? await store.get(path, {stale: !watching})
         : await store.watch(path, this.revision, this.watchMs);
     if (this.closed) return 0;
     if (read.isErr()) {
@@ -109,7 +115,7 @@
   }
 
   private get watchMs(): number {
-    const shared = this.options.nodes() * FLEET_RENEWAL_MS;
+    const shared = this.options.watchers() * FLEET_RENEWAL_MS;
     return Math.min(MAX_WATCH_MS, Math.max(MIN_WATCH_MS, shared));
   }
 
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -3,10 +3,10 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import {AnnouncementOrder, CallOrigins} from '@goldcresthill/gate';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {ServerLoadReport} from '@goldcresthill/peers';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
 import type {
   AttemptId,
+  LoadReport,
   Millis,
   ServerRecord,
   ServiceRules,
@@ -91,12 +91,14 @@
     return this.links.get(service)?.report();
   }
 
-  /** Loads of all servers of this VM. */
-  get loads(): ServerLoadReport[] {
-    return [...this.links.values()].map(link => ({
-      service: link.service,
-      report: link.report(),
-    }));
+  /** Load of a server of this VM with its speed of now; undefined if there is no such server. */
+  freshReport(
+    service: string,
+    done: (report: LoadReport | undefined) => void,
+  ): void {
+    const link = this.links.get(service);
+    if (link === undefined) done(undefined);
+    else link.freshReport(done);
   }
 
   get servers(): ServerRecord[] {
--- a/packages/node/src/gate/server_connections.ts
+++ b/packages/node/src/gate/server_connections.ts
@@ -28,6 +28,8 @@
 const EMPTY = Buffer.alloc(0);
 const CONNECT_TIMEOUT_MS = 500;
 const IDLE_CONNECTION_MS = 2_000;
+/** Questions about load are rare at a quiet server, and each connection costs it more than one of them. */
+const IDLE_ASKING_MS = 8_000;
 const CHECK_TIMEOUT_MS = 300;
 
 /** Where a server listens on its VM. */
@@ -68,7 +70,7 @@
     const {host, port} = this.place;
     this.asking ??= new Client(`http://${host}:${port}`, {
       connect: connectorOf(CONNECT_TIMEOUT_MS),
-      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveTimeout: IDLE_ASKING_MS,
     });
     const exchange = new HttpExchange(
       {method: 'GET', path, headers: {}, body: EMPTY, maxBufferedBytes: 1_024},
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -85,7 +85,8 @@
       connections,
       server,
       onLoad: load => this.learnLoad(load),
-      isUrgent: () => this.gate.isHolding,
+      isSlow: () => this.gate.isSlow,
+      isHolding: () => this.gate.isHolding,
     });
     this.loadChecker.configure(rules);
   }
@@ -112,6 +113,11 @@
     return this.gate.report(this.options.timers.now());
   }
 
+  /** Reports the load once the server has been asked for its speed, if what is known of it is old. */
+  freshReport(done: (report: LoadReport) => void): void {
+    this.loadChecker.refresh(() => done(this.report()));
+  }
+
   /** Runs, queues or refuses an attempt; answers a function that cancels it. */
   attempt(req: AttemptRequest): () => void {
     const now = this.options.timers.now();
@@ -128,6 +134,7 @@
       objective,
       returning,
     });
+    this.loadChecker.refresh(() => undefined);
     if (admission.type === 'start') this.start(ref, entry);
     if (admission.type === 'refuse') this.refuse(ref, admission.kind);
     if (admission.type === 'queued' && admission.evicted !== undefined) {
@@ -274,9 +281,9 @@
   }
 
   private learnLoad(load: ServerLoad): void {
-    this.loadChecker.noteLearnt();
     const now = this.options.timers.now();
     this.execute(this.gate.learnSlowdown(now, load.slowdown));
+    this.loadChecker.noteLearnt();
   }
 
   // The answer waits for the check, as the gateway treats a death differently.
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -13,6 +13,8 @@
 import {CallRunner} from './call_runner';
 import type {CallEnvironment, CallOutcome} from './call_runner';
 import {ClaimRunner} from './claim_runner';
+import {ConsultationRunner} from './consultation_runner';
+import type {LoadAsker} from './consultation_runner';
 import type {OutgoingCall, OwnerReply} from './gate_client';
 
 /** What a handler starts from. */
@@ -21,6 +23,8 @@
   readonly timers: Timers;
   readonly store: ObjectStore;
   readonly send: CallEnvironment['send'];
+  /** Asks the node beside a server for its load; without it servers are chosen by what is known. */
+  readonly ask?: LoadAsker;
   /** Asks the gateway that holds a claim. */
   readonly askOwner: (record: ClaimRecord) => Promise<OwnerReply>;
   readonly onDecision: (
@@ -146,6 +150,7 @@
         router: handled.router,
         sampled: handled.sampled,
         send: this.options.send,
+        consult: (exclude, done) => this.consult(handled, exclude, done),
         resolving: this.options.resolving,
         onDecision: decision => this.decide(handled, decision),
         onFault: this.options.onFault,
@@ -160,6 +165,21 @@
     return {callerGone: () => runner.callerGone()};
   }
 
+  private consult(
+    {call, router}: HandledCall,
+    exclude: readonly string[],
+    done: (asked: boolean) => void,
+  ): void {
+    const {ask, timers} = this.options;
+    if (ask === undefined) {
+      done(false);
+      return;
+    }
+    const {service} = call.info;
+    const options = {service, router, timers, ask};
+    new ConsultationRunner(options, exclude, () => done(true)).start();
+  }
+
   private record(token: string, outcome: CallOutcome): void {
     const now = this.options.timers.now();
     if (outcome.type === 'failed') {
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -48,6 +48,11 @@
     retriesLeft: number,
     done: (result: AttemptResult) => void,
   ) => AttemptHandle | undefined;
+  /** Asks servers for their load before one is chosen; `done` is called once with whether any was asked. */
+  readonly consult: (
+    exclude: readonly string[],
+    done: (asked: boolean) => void,
+  ) => void;
   readonly onDecision: (decision: Readonly<Record<string, unknown>>) => void;
   readonly onFault: (err: unknown) => void;
   /** Whether the request was in flight at servers that died. */
@@ -113,8 +118,14 @@
   }
 
   private event(event: CallEvent): void {
+    this.guard(() =>
+      this.plan.handle(event).forEach(command => this.execute(command)),
+    );
+  }
+
+  private guard(step: () => void): void {
     try {
-      this.plan.handle(event).forEach(command => this.execute(command));
+      step();
     } catch (err) {
       this.env.onFault(err);
       this.finish({type: 'failed', kind: 'internal', runState: 'unknown'});
@@ -154,6 +165,17 @@
   }
 
   private send(command: CallCommand & {type: 'send'}): void {
+    this.env.consult(command.exclude, asked => {
+      // The call may have ended meanwhile.
+      if (this.plan.answered) return;
+      this.guard(() => this.sendNow(command, asked));
+    });
+  }
+
+  private sendNow(
+    command: CallCommand & {type: 'send'},
+    consulted: boolean,
+  ): void {
     const {attempt} = command;
     const now = this.env.timers.now();
     const {router, sampled} = this.env;
@@ -166,6 +188,7 @@
     const pick = router.pick(now, command.exclude, {
       explain: sampled,
       hedge: command.hedge,
+      consulted,
     });
     if (pick === undefined) {
       this.event({type: 'noServer', attempt});
--- a/packages/node/src/gateway/gate_links.ts
+++ b/packages/node/src/gateway/gate_links.ts
@@ -16,6 +16,8 @@
 /** One pool for each node that is used; a pool is renewed when its connections fall silent. */
 export class GateLinks {
   private readonly addresses = new Map<string, NodeAddress>();
+  /** Addresses as members tell them. */
+  private readonly told = new Map<string, NodeAddress>();
   private readonly pools = new Map<string, Pool>();
 
   /** Takes the members; links to those that are gone are closed. */
@@ -29,10 +31,23 @@
     for (const nodeId of [...this.addresses.keys()]) {
       if (seen.has(nodeId)) continue;
       this.addresses.delete(nodeId);
+      this.told.delete(nodeId);
       this.renew(nodeId);
     }
   }
 
+  addressOf(nodeId: string): NodeAddress | undefined {
+    return this.addresses.get(nodeId);
+  }
+
+  /** A node has said by itself which process of it runs. */
+  learnProcess(nodeId: string, bootId: number): void {
+    const known = this.addresses.get(nodeId);
+    if (known === undefined || known.bootId === bootId) return;
+    this.addresses.set(nodeId, {...known, bootId});
+    this.renew(nodeId);
+  }
+
   /** The link to a node, opened when first asked for. */
   get(nodeId: string): GateLink | undefined {
     const address = this.addresses.get(nodeId);
@@ -59,11 +74,16 @@
     await Promise.all(pools);
   }
 
+  // What members say of a process may be older than what the node has said by itself.
   private setAddress(address: NodeAddress): void {
-    const known = this.addresses.get(address.nodeId);
-    this.addresses.set(address.nodeId, address);
+    const {nodeId} = address;
+    const told = this.told.get(nodeId);
+    if (told !== undefined && isSameProcess(told, address)) return;
+    this.told.set(nodeId, address);
+    const known = this.addresses.get(nodeId);
+    this.addresses.set(nodeId, address);
     if (known !== undefined && !isSameProcess(known, address)) {
-      this.renew(address.nodeId);
+      this.renew(nodeId);
     }
   }
 }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -6,12 +6,13 @@
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import type {ObjectStore} from '@goldcresthill/object-store';
-import type {ServerLoadReport} from '@goldcresthill/peers';
 import type {Quarantine} from '@goldcresthill/quarantine';
+import type {LoadAnswer} from '@goldcresthill/peers';
 import {ServiceRouter} from '@goldcresthill/routing';
+import type {ServerView} from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {serverId} from '@goldcresthill/types';
-import type {NodeAddress, ServiceRules} from '@goldcresthill/types';
+import type {LoadReport, NodeAddress, ServiceRules} from '@goldcresthill/types';
 import {fingerprintOf} from '../fingerprint';
 import type {GateTask} from '../gate/gate_task';
 import type {KeptAnswer} from '../gate/messages';
@@ -48,6 +49,12 @@
   readonly random: () => number;
   /** Time for which the answer to a call whose server died is held back, milliseconds. */
   readonly newsHoldMs?: number;
+  /** Asks another node for the load of its server; without it servers are chosen by what answers have told. */
+  readonly ask?: (
+    to: NodeAddress,
+    service: string,
+    done: (answer: LoadAnswer | undefined) => void,
+  ) => void;
   readonly onFault: (err: unknown) => void;
 }
 
@@ -89,6 +96,8 @@
         this.sender.send(call, pick, suspect, retriesLeft, done),
       askOwner: ({host, dataPort, token, incarnation}) =>
         askOwner(host, dataPort, token, incarnation),
+      ask:
+        options.ask && ((service, view, done) => this.ask(service, view, done)),
       onDecision: (callId, sampled, decision) =>
         options.decisions.add(callId, sampled, decision),
       onFault: options.onFault,
@@ -164,9 +173,6 @@
       case 'configure':
         this.configure(message.rules);
         return;
-      case 'loads':
-        this.learnLoads(message.nodeId, message.loads);
-        return;
       case 'news':
         this.takeNews(message.news);
         return;
@@ -185,13 +191,6 @@
     else this.quarantine.clear(news);
   }
 
-  private learnLoads(nodeId: string, loads: readonly ServerLoadReport[]): void {
-    const now = this.timers.now();
-    for (const {service, report} of loads) {
-      this.routers.get(service)?.learn(now, serverId(nodeId, service), report);
-    }
-  }
-
   private configure(rules: ReadonlyMap<string, ServiceRules>): void {
     this.rules = rules;
     const now = this.timers.now();
@@ -353,6 +352,31 @@
     );
   }
 
+  private ask(
+    service: string,
+    view: ServerView,
+    done: (report: LoadReport | undefined | 'silent') => void,
+  ): void {
+    const {gate, address, ask} = this.options;
+    if (view.nodeId === address.nodeId) {
+      gate.freshReport(service, done);
+      return;
+    }
+    const link = this.links.addressOf(view.nodeId);
+    if (link === undefined || ask === undefined) {
+      done('silent');
+      return;
+    }
+    ask(link, service, answer => {
+      if (answer === undefined) {
+        done('silent');
+        return;
+      }
+      this.links.learnProcess(view.nodeId, answer.bootId);
+      done(answer.report);
+    });
+  }
+
   private newCallId(req: IncomingMessage): string {
     const seq = this.callSeq++;
     const {nodeId, bootId} = this.options.address;
--- a/packages/node/src/gateway/messages.ts
+++ b/packages/node/src/gateway/messages.ts
@@ -1,6 +1,5 @@
 /** Messages to the gateway task. */
 import type {MemberRecord, MemberNews} from '@goldcresthill/membership';
-import type {ServerLoadReport} from '@goldcresthill/peers';
 import type {ServiceRules} from '@goldcresthill/types';
 
 /** Messages that the gateway task takes. */
@@ -15,11 +14,5 @@
       readonly type: 'configure';
       readonly rules: ReadonlyMap<string, ServiceRules>;
     }
-  | {
-      /** Load of the servers of another node, as it told. */
-      readonly type: 'loads';
-      readonly nodeId: string;
-      readonly loads: readonly ServerLoadReport[];
-    }
   | {readonly type: 'news'; readonly news: MemberNews}
   | {readonly type: 'evict'};
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -16,7 +16,9 @@
   | {readonly type: 'tick'}
   | {readonly type: 'seed'; readonly records: readonly MemberRecord[]}
   | {readonly type: 'servers'; readonly servers: readonly ServerRecord[]}
+  | {readonly type: 'leaving'; readonly leaving: readonly string[]}
   | {readonly type: 'spread'; readonly news: MemberNews}
+  | {readonly type: 'repeat'; readonly news: readonly MemberNews[]}
   | {readonly type: 'configRevision'; readonly revision: number}
   | {
       readonly type: 'answered';
@@ -32,6 +34,8 @@
 export interface MemberEvents {
   readonly onMembers: () => void;
   readonly onNews: (news: MemberNews) => void;
+  /** Server processes of this VM leave, as an earlier process of this node had told. */
+  readonly onLeaving?: (instances: readonly string[]) => void;
   /** The revision that this node holds. */
   readonly heldRevision: () => number;
   readonly onDelta: (delta: ConfigDelta) => void;
@@ -45,6 +49,7 @@
   readonly incarnation: number;
   readonly roundMs: number;
   readonly bytesPerSecond: number;
+  readonly messageBytes?: number;
   readonly random: () => number;
   readonly timers: Timers;
   readonly links: PeerLinks;
@@ -69,6 +74,7 @@
       random: options.random,
       roundMs: options.roundMs,
       bytesPerSecond: options.bytesPerSecond,
+      messageBytes: options.messageBytes,
       cutDetection: options.cutDetection,
     });
     const everyMs = options.roundMs / TICKS_PER_ROUND;
@@ -98,10 +104,16 @@
         return this.execute(membership.seed(now, message.records));
       case 'servers':
         return this.execute(membership.setServers(now, message.servers));
+      case 'leaving':
+        return this.execute(membership.setLeaving(now, message.leaving));
+      case 'repeat':
+        return message.news.forEach(news => membership.repeat(news));
       case 'spread':
         return this.execute(membership.spread(now, message.news));
       case 'configRevision':
-        return membership.setConfigRevision(message.revision);
+        return this.execute(
+          membership.setConfigRevision(now, message.revision),
+        );
       case 'answered':
         return this.execute(
           membership.answered(now, message.peer, message.answer),
@@ -141,6 +153,9 @@
         case 'statusChanged':
           events.onStatus(command.nodeId, command.status, command.reason);
           break;
+        case 'leaving':
+          events.onLeaving?.(command.instances);
+          break;
         case 'news':
           events.onNews(command.news);
           break;
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -1,8 +1,11 @@
 /** The presence object of this node, and the list of those of others. */
+import {isDeepStrictEqual} from 'node:util';
 import type {MemberRecord} from '@goldcresthill/membership';
+import type {ErrorKind} from '@goldcresthill/errors';
 import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {NodeAddress} from '@goldcresthill/types';
+import type {Millis, NodeAddress} from '@goldcresthill/types';
+import type {Result} from 'neverthrow';
 import * as z from 'zod';
 
 const PREFIX = 'nodes/';
@@ -18,6 +21,19 @@
     region: z.string(),
   }),
   incarnation: z.number(),
+  /** Version of the node's record and its servers when this was written. */
+  version: z.number().optional(),
+  servers: z
+    .array(
+      z.object({
+        service: z.string(),
+        port: z.number(),
+        slots: z.number(),
+        instance: z.string(),
+        state: z.enum(['up', 'draining', 'down']),
+      }),
+    )
+    .optional(),
   /** Server processes of this VM that have said that they leave. */
   leaving: z.array(z.string()).optional(),
 });
@@ -34,9 +50,18 @@
   /** Server processes that had said that they leave, as an earlier process of this node has written. */
   readonly onLeaving?: (instances: readonly string[]) => void;
   readonly onPeers: (records: readonly MemberRecord[]) => void;
+  /** What this node tells of itself; without it others learn that from messages. */
+  readonly ownRecord?: () => Pick<MemberRecord, 'version' | 'servers'>;
+  /** A node that starts anew at the same place leaves its object as it is. */
+  readonly keepsObject?: boolean;
+  readonly random?: () => number;
+  /** Instants after the first list at which it is read again, for nodes that start together, milliseconds. */
+  readonly listAgainMs?: readonly Millis[];
 }
 
 const RETRY_MS = 200;
+/** Share by which the instants of further lists are spread. */
+const SPREAD_SHARE = 0.3;
 /** Server processes of one VM that are remembered; more than end within the time that reports can be late. */
 const MAX_LEAVING = 8;
 
@@ -47,6 +72,7 @@
   private closed = false;
   private listed = false;
   private leaving: readonly string[] = [];
+  private readonly again: Cancel[] = [];
 
   constructor(private readonly options: PresenceOptions) {}
 
@@ -55,16 +81,17 @@
     const {breaker, timers} = this.options;
     if (this.closed) return;
     if (breaker.allows(timers.now())) await this.attempt();
-    if (this.version !== undefined && this.listed) return;
-    const waitMs = Math.max(RETRY_MS, breaker.waitMs(timers.now()));
-    this.timer = timers.after(waitMs, () => void this.start());
+    if (this.version === undefined || !this.listed) this.retryLater();
   }
 
   /** Writes that a server process leaves; false if that could not be written now. */
   async noteLeaving(instance: string): Promise<boolean> {
     if (this.leaving.includes(instance)) return true;
     this.leaving = [...this.leaving, instance].slice(-MAX_LEAVING);
-    return this.write();
+    const written = await this.replace();
+    // It is owed: a process that starts after this one has to find it.
+    if (!written) this.retryLater();
+    return written;
   }
 
   /** Removes the presence of this node, if it was written. */
@@ -90,6 +117,14 @@
   close(): void {
     this.closed = true;
     this.timer?.();
+    this.again.forEach(cancel => cancel());
+  }
+
+  private retryLater(): void {
+    const {breaker, timers} = this.options;
+    const waitMs = Math.max(RETRY_MS, breaker.waitMs(timers.now()));
+    this.timer?.();
+    this.timer = timers.after(waitMs, () => void this.start());
   }
 
   private async attempt(): Promise<void> {
@@ -100,32 +135,63 @@
     else breaker.fail(timers.now());
   }
 
+  // Most nodes start for the first time, so that a write alone does.
   private async write(): Promise<boolean> {
-    const {store, address, incarnation} = this.options;
-    const path = this.path(address.nodeId);
-    const found = await store.get(path);
+    const created = await this.put(0);
+    if (created.isOk()) {
+      this.options.onLeaving?.([]);
+      return true;
+    }
+    return created.error === 'storeConflict' && this.takeOver();
+  }
+
+  // An earlier process of this node has written the object.
+  private async takeOver(): Promise<boolean> {
+    const {store, address, keepsObject = false} = this.options;
+    const found = await store.get(this.path(address.nodeId));
     if (found.isErr()) return false;
-    this.takePrevious(found.value?.value);
+    const version = found.value?.version ?? 0;
+    const previous = readPresence(found.value?.value ?? '');
+    this.takeLeavings(previous?.leaving ?? []);
+    const told = previous?.leaving ?? [];
+    const isTold = this.leaving.every(instance => told.includes(instance));
+    if (keepsObject && isTold && isSamePlace(previous?.address, address)) {
+      this.version = version;
+      return true;
+    }
+    return (await this.put(version)).isOk();
+  }
+
+  private async replace(): Promise<boolean> {
+    if (this.version === undefined) return this.takeOver();
+    const put = await this.put(this.version);
+    if (put.isOk()) return true;
+    this.version = undefined;
+    return this.takeOver();
+  }
+
+  private async put(condition: number): Promise<Result<number, ErrorKind>> {
+    const {store, address, incarnation, ownRecord} = this.options;
     const {leaving} = this;
-    const value = JSON.stringify({address, incarnation, leaving});
-    const put = await store.put(path, value, found.value?.version ?? 0);
-    if (put.isErr()) return false;
-    this.version = put.value;
-    return true;
+    const value = {address, incarnation, ...ownRecord?.(), leaving};
+    const path = this.path(address.nodeId);
+    const put = await store.put(path, JSON.stringify(value), condition);
+    if (put.isOk()) this.version = put.value;
+    return put;
   }
 
-  private takePrevious(text: string | undefined): void {
-    const previous = text === undefined ? undefined : readPresence(text);
+  private takeLeavings(previous: readonly string[]): void {
     const {leaving} = this;
-    const more = (previous?.leaving ?? []).filter(i => !leaving.includes(i));
+    const more = previous.filter(i => !leaving.includes(i));
     this.leaving = [...more, ...leaving].slice(-MAX_LEAVING);
     this.options.onLeaving?.(this.leaving);
   }
 
   private async list(): Promise<boolean> {
     const {store, onPeers, address} = this.options;
-    const found = await store.list(PREFIX);
+    const found = await store.list(PREFIX, {stale: true});
     if (found.isErr()) return false;
+    if (!this.listed) this.listAgainLater();
     this.listed = true;
     const values = found.value.flatMap(
       object => readPresence(object.value) ?? [],
@@ -136,6 +202,18 @@
     return true;
   }
 
+  private listAgainLater(): void {
+    const {timers, listAgainMs = [], random = Math.random} = this.options;
+    for (const delayMs of listAgainMs) {
+      const spread = 1 + SPREAD_SHARE * random();
+      this.again.push(
+        timers.after(delayMs * spread, () => {
+          if (!this.closed) void this.list();
+        }),
+      );
+    }
+  }
+
   private path(nodeId: string): string {
     return PREFIX + nodeId;
   }
@@ -150,6 +228,13 @@
 }
 
 // The same as a node's own first record, which is then no news.
-function toRecord({address, incarnation}: PresenceValue): MemberRecord {
-  return {address, incarnation, version: 1, status: 'alive', servers: []};
+function toRecord(value: PresenceValue): MemberRecord {
+  const {address, incarnation, version = 1, servers = [], leaving} = value;
+  return {address, incarnation, version, status: 'alive', servers, leaving};
+}
+
+function isSamePlace(a: NodeAddress | undefined, b: NodeAddress): boolean {
+  return (
+    a !== undefined && isDeepStrictEqual({...a, bootId: 0}, {...b, bootId: 0})
+  );
 }
--- /dev/null
+++ b/packages/node/src/peers/datagram_links.ts
@@ -0,0 +1,182 @@
+/** Socket for datagrams: messages of membership, and questions about load. */
+import {createSocket} from 'node:dgram';
+import type {Socket} from 'node:dgram';
+import type {ExchangeMessage} from '@goldcresthill/membership';
+import {decodeDatagram, encodeDatagram} from '@goldcresthill/peers';
+import type {Datagram, LoadAnswer, LoadQuestion} from '@goldcresthill/peers';
+import type {Cancel, Timers} from '@goldcresthill/timers';
+import type {LoadReport, Millis, NodeAddress} from '@goldcresthill/types';
+import {fetchConfig} from '../gateway/gate_client';
+import {PeerLinks} from '../member/peer_links';
+import type {ConfigDelta} from '../member/peer_links';
+
+/** What the links tell the rest of the node. */
+export interface DatagramEvents {
+  /** Takes a message of another node and answers it. */
+  readonly onExchange: (message: ExchangeMessage) => ExchangeMessage;
+  /** Finds out the load of the server beside this node. */
+  readonly onAsk: (
+    service: string,
+    reply: (report: LoadReport | undefined) => void,
+  ) => void;
+  /** The sender has heard of a watcher of the configuration that long ago. */
+  readonly onWatched: (ageMs: Millis) => void;
+  readonly onFault: (err: unknown) => void;
+}
+
+/** What the links start from. */
+export interface DatagramLinksOptions {
+  readonly address: NodeAddress;
+  readonly timers: Timers;
+  /** Time since this node has heard of a watcher, milliseconds. */
+  readonly watchedMs: () => Millis;
+  readonly events: DatagramEvents;
+}
+
+/** Longest wait for the answer to a message, milliseconds. */
+const EXCHANGE_TIMEOUT_MS = 300;
+/** Longest time for which a late answer about load is still taken, milliseconds. */
+const ASK_TIMEOUT_MS = 300;
+
+interface Question {
+  readonly cancel: Cancel;
+  readonly take: (answer: Datagram | undefined) => void;
+}
+
+/** Joins answers to questions; what is lost is not sent again. */
+export class DatagramLinks extends PeerLinks {
+  private readonly questions = new Map<number, Question>();
+  private socket: Socket | undefined;
+  private refs = 0;
+
+  constructor(private readonly options: DatagramLinksOptions) {
+    super();
+  }
+
+  async listen(): Promise<void> {
+    const socket = createSocket('udp4');
+    this.socket = socket;
+    socket.on('message', (bytes, from) =>
+      this.receive(bytes, from.address, from.port),
+    );
+    const {host, controlPort} = this.options.address;
+    await new Promise<void>((done, fail) => {
+      socket.once('error', fail);
+      socket.bind(controlPort, host, done);
+    });
+    socket.on('error', err => this.options.events.onFault(err));
+  }
+
+  override exchange(
+    to: NodeAddress,
+    message: ExchangeMessage,
+  ): Promise<ExchangeMessage | undefined> {
+    return new Promise(done => {
+      const ref = this.question(EXCHANGE_TIMEOUT_MS, answer =>
+        done(answer?.type === 'answer' ? answer.message : undefined),
+      );
+      const watchedMs = this.options.watchedMs();
+      this.send({type: 'exchange', ref, message, watchedMs}, to);
+    });
+  }
+
+  /** Asks for the load beside a node; `done` is called once, with undefined if no answer came. */
+  ask(
+    to: NodeAddress,
+    service: string,
+    done: (answer: LoadAnswer | undefined) => void,
+  ): void {
+    const ref = this.question(ASK_TIMEOUT_MS, answer =>
+      done(answer?.type === 'load' ? answer : undefined),
+    );
+    this.send({type: 'ask', ref, service}, to);
+  }
+
+  /** The whole configuration, which is its change since the first. */
+  override async fetchConfig(
+    from: NodeAddress,
+  ): Promise<ConfigDelta | undefined> {
+    const text = await fetchConfig(from);
+    return text === undefined ? undefined : {since: 0, delta: text};
+  }
+
+  override close(): void {
+    for (const {cancel, take} of this.questions.values()) {
+      cancel();
+      take(undefined);
+    }
+    this.questions.clear();
+    this.socket?.close();
+    this.socket = undefined;
+  }
+
+  private question(timeoutMs: Millis, take: Question['take']): number {
+    const ref = this.refs++;
+    const cancel = this.options.timers.after(timeoutMs, () =>
+      this.settle(ref, undefined),
+    );
+    this.questions.set(ref, {cancel, take});
+    return ref;
+  }
+
+  private settle(ref: number, answer: Datagram | undefined): void {
+    const question = this.questions.get(ref);
+    if (question === undefined) return;
+    this.questions.delete(ref);
+    question.cancel();
+    question.take(answer);
+  }
+
+  private receive(bytes: Buffer, host: string, port: number): void {
+    const datagram = decodeDatagram(bytes);
+    if (datagram === undefined) return;
+    try {
+      this.take(datagram, host, port);
+    } catch (err) {
+      this.options.events.onFault(err);
+    }
+  }
+
+  private take(datagram: Datagram, host: string, port: number): void {
+    const {events, watchedMs} = this.options;
+    const from = {host, controlPort: port};
+    switch (datagram.type) {
+      case 'exchange': {
+        events.onWatched(datagram.watchedMs);
+        const message = events.onExchange(datagram.message);
+        const {ref} = datagram;
+        this.send({type: 'answer', ref, message, watchedMs: watchedMs()}, from);
+        return;
+      }
+      case 'answer':
+        events.onWatched(datagram.watchedMs);
+        this.settle(datagram.ref, datagram);
+        return;
+      case 'ask':
+        this.answer(datagram, from);
+        return;
+      case 'load':
+        this.settle(datagram.ref, datagram);
+        return;
+    }
+  }
+
+  private answer(
+    {ref, service}: LoadQuestion,
+    from: Pick<NodeAddress, 'host' | 'controlPort'>,
+  ): void {
+    const {bootId} = this.options.address;
+    this.options.events.onAsk(service, report =>
+      this.send({type: 'load', ref, bootId, report}, from),
+    );
+  }
+
+  // What cannot be sent is as good as lost.
+  private send(
+    datagram: Datagram,
+    to: Pick<NodeAddress, 'host' | 'controlPort'>,
+  ): void {
+    const text = encodeDatagram(datagram);
+    this.socket?.send(text, to.controlPort, to.host, () => undefined);
+  }
+}
--- a/packages/node/src/peers/news_board.ts
+++ b/packages/node/src/peers/news_board.ts
@@ -1,11 +1,10 @@
 /** News of crashing requests, repeated for a while as datagrams get lost. */
 import type {MemberNews} from '@goldcresthill/membership';
-import type {Clearance, Strike} from '@goldcresthill/quarantine';
 import type {Millis} from '@goldcresthill/types';
 
 /** Time for which news is repeated, milliseconds; a node that starts in that time hears of it. */
 const REPEAT_MS = 30_000;
-/** Newest entries that a datagram carries, so that it fits into one packet. */
+/** Newest entries that are repeated, so that they fit into one message. */
 const MAX_ENTRIES = 8;
 
 interface Entry {
@@ -27,17 +26,9 @@
   }
 
   /** The newest news. */
-  current(now: Millis): {strikes: Strike[]; clearances: Clearance[]} {
+  current(now: Millis): MemberNews[] {
     this.evict(now);
-    const newest = [...this.entries.values()].slice(-MAX_ENTRIES);
-    const strikes: Strike[] = [];
-    const clearances: Clearance[] = [];
-    for (const {news} of newest) {
-      const {fingerprint, at} = news;
-      if (news.type === 'clearance') clearances.push({fingerprint, at});
-      else strikes.push({fingerprint, instance: news.instance, at});
-    }
-    return {strikes, clearances};
+    return [...this.entries.values()].slice(-MAX_ENTRIES).map(e => e.news);
   }
 
   private evict(now: Millis): void {
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -1,5 +1,6 @@
 /** A node that finds its peers and its configuration in the store and shares load by datagrams. */
 import type {Logger} from '@goldcresthill/logger';
+import {WatchDuty, watchersOf} from '@goldcresthill/membership';
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import {BudgetedStore, StoreBreaker} from '@goldcresthill/object-store';
@@ -19,11 +20,12 @@
 import type {CallerInterface} from '../gateway/caller_interface';
 import {CrashNews} from '../gateway/crash_news';
 import {DecisionLog} from '../gateway/decision_log';
-import {fetchConfig} from '../gateway/gate_client';
 import {GatewayTask} from '../gateway/gateway_task';
 import {BodyBudget} from '../http/body';
 import {Presence} from '../member/presence';
-import {PeerTask} from '../peers/peer_task';
+import {DatagramLinks} from '../peers/datagram_links';
+import {NewsBoard} from '../peers/news_board';
+import {MemberTask} from '../member/member_task';
 import type {SidecarConfig} from './sidecar_config';
 
 /** What a node starts from. */
@@ -41,6 +43,10 @@
   readonly decodeConfig: (text: string) => Result<SidecarConfig, string>;
   readonly onConfig: (config: SidecarConfig) => void;
   readonly announceTtlMs: number;
+  /** Service of the server of this VM. */
+  readonly service: string;
+  /** Time within which a configuration is to be in force everywhere, milliseconds. */
+  readonly configApplyMs: number;
   readonly random?: () => number;
 }
 
@@ -59,8 +65,22 @@
 const RECALL_MS = 700;
 const MILLIS_PER_SECOND = 1_000;
 const BOOT_FRACTION = 1_000;
-/** Time for which the own watch may still bring a configuration that another node has, milliseconds. */
-const CONFIG_PATIENCE_MS = 300;
+/** Nodes of each failure domain that wait for changes of the configuration. */
+const WATCHERS_PER_DOMAIN = 3;
+/** A node watches by itself when it has not heard of a watcher for this share of the time that a change may take. */
+const PATIENCE_SHARE = 0.6;
+/** Interval between messages to other nodes, milliseconds. */
+const ROUND_MS = 500;
+/** Largest message to another node, which fits into one packet, bytes. */
+const MESSAGE_BYTES = 1_200;
+/** Interval at which news of crashing requests is told again, milliseconds. */
+const NEWS_AGAIN_MS = 5_000;
+/** Many records change at once; gateways are told of them together, milliseconds. */
+const MEMBERS_DELAY_MS = 50;
+/** Longest wait for the server's first word before this node makes itself known without it, milliseconds. */
+const FIRST_WORD_MS = 700;
+/** Instants after the first list of nodes at which it is read again, milliseconds. */
+const LIST_AGAIN_MS = [3_500, 8_000];
 
 /** Longest wait before the store is tried again, milliseconds; lapsed entries are due back within two seconds. */
 const MAX_STORE_WAIT_MS = 1_000;
@@ -71,15 +91,26 @@
   private readonly gate: GateTask;
   private readonly gateway: GatewayTask;
   private readonly data: DataListener;
-  private readonly peers: PeerTask;
+  private readonly links: DatagramLinks;
+  private readonly member: MemberTask;
+  private readonly duty: WatchDuty;
+  private readonly news = new NewsBoard();
   private readonly presence: Presence;
   private readonly config: ConfigFollower<SidecarConfig>;
   private readonly store: BudgetedStore;
   private readonly budget: BodyBudget;
   private readonly crashNews: CrashNews;
   private leaving = false;
-  private fetching = false;
+  private membersPending = false;
+  private watchers = 1;
   private broken = 0;
+  private cancelNews: () => void = () => undefined;
+  private hearServer: () => void = () => undefined;
+  /** Resolves with the first word of the server of this VM. */
+  private readonly serverHeard = new Promise<void>(done => {
+    this.hearServer = done;
+  });
+  private announced: Announcement | undefined;
   private markRecalled: () => void = () => undefined;
   /** Resolves once it is known which servers have left before this process started. */
   private readonly recalled = new Promise<void>(done => {
@@ -99,7 +130,11 @@
     this.gate = this.makeGate();
     this.gateway = this.makeGateway();
     this.data = this.makeData();
-    this.peers = this.makePeers();
+    this.duty = new WatchDuty(options.timers.now(), {
+      patienceMs: options.configApplyMs * PATIENCE_SHARE,
+    });
+    this.links = this.makeLinks();
+    this.member = this.makeMember();
     this.presence = this.makePresence();
     this.config = this.makeConfig();
   }
@@ -109,11 +144,14 @@
     await Promise.all([
       this.gateway.listen(),
       this.data.listen(),
-      this.peers.listen(),
+      this.links.listen(),
     ]);
     this.tellMembers();
     void this.config.start();
-    void this.presence.start();
+    void this.makeKnown();
+    this.cancelNews = this.options.timers.every(NEWS_AGAIN_MS, () =>
+      this.repeatNews(),
+    );
     const {nodeId, bootId, domain} = this.address;
     this.options.logger.info('started', {nodeId, bootId, domain});
   }
@@ -124,8 +162,11 @@
    */
   async announce(announcement: Announcement): Promise<void> {
     const {timers} = this.options;
+    this.announced = announcement;
+    this.hearServer();
     if (announcement.state === 'draining') {
       this.gate.post({type: 'announce', announcement});
+      this.tellLeaving();
       await Promise.race([
         this.presence.noteLeaving(announcement.instance),
         timers.pause(PERSIST_MS),
@@ -142,7 +183,7 @@
   }
 
   get peerCount(): number {
-    return this.peers.peerCount;
+    return this.member.membership.reachable().length - 1;
   }
 
   get storeCalls(): {made: number; failed: number} {
@@ -171,7 +212,7 @@
     const graceMs = settings.node.grace_seconds * MILLIS_PER_SECOND;
     this.gateway.beginClosing();
     this.gate.post({type: 'drain'});
-    this.peers.leave();
+    this.member.post({type: 'leave'});
     const endAt = startedAt + graceMs - CLOSING_MS;
     await timers.pause(Math.min(LAME_DUCK_MS, graceMs - CLOSING_MS));
     this.gateway.stopAccepting();
@@ -184,10 +225,11 @@
   }
 
   async close(): Promise<void> {
+    this.cancelNews();
     this.config.close();
     this.presence.close();
-    this.peers.close();
     await Promise.all([
+      this.member.close(),
       this.gateway.close(),
       this.data.close(),
       this.gate.close(),
@@ -262,6 +304,7 @@
       random: random ?? Math.random,
       // News of a death is with the others within a datagram's time.
       newsHoldMs: 0,
+      ask: (to, service, done) => this.links.ask(to, service, done),
       onFault: err => this.onFault(err),
     });
   }
@@ -279,25 +322,40 @@
     });
   }
 
-  private makePeers(): PeerTask {
-    return new PeerTask({
+  private makeLinks(): DatagramLinks {
+    const {timers} = this.options;
+    return new DatagramLinks({
       address: this.address,
-      timers: this.options.timers,
-      servers: () => this.gate.servers,
-      loads: () => this.gate.loads,
-      configVersion: () => this.config.version,
-      leavingServers: () => this.gate.leavingServers,
+      timers,
+      watchedMs: () => this.duty.age(timers.now()),
+      events: {
+        onExchange: message => this.member.receive(message),
+        onAsk: (service, reply) => this.gate.freshReport(service, reply),
+        onWatched: ageMs => this.duty.hear(timers.now(), ageMs),
+        onFault: err => this.onFault(err),
+      },
+    });
+  }
+
+  private makeMember(): MemberTask {
+    const {timers, settings, logger, random = Math.random} = this.options;
+    return new MemberTask({
+      address: this.address,
+      incarnation: this.address.bootId,
+      roundMs: ROUND_MS,
+      bytesPerSecond: settings.membership.bytes_per_second,
+      messageBytes: MESSAGE_BYTES,
+      random,
+      timers,
+      links: this.links,
       events: {
-        onMembers: records => this.tellMembers(records),
-        onLoads: (nodeId, loads) =>
-          this.gateway.post({type: 'loads', nodeId, loads}),
-        onNews: news => this.onNews(news),
+        onMembers: () => this.tellMembersLater(),
+        onNews: news => this.spread(news),
         onLeaving: instances => this.takeLeaving(instances),
-        onForgotten: lost => {
-          this.options.logger.info('nodeForgotten', {nodeId: lost.nodeId});
-          void this.presence.removeDead(lost);
-        },
-        onNewerConfig: holder => void this.fetchNewer(holder),
+        heldRevision: () => this.config.version,
+        onDelta: ({delta}) => this.config.offer(delta, 'peer'),
+        onStatus: (member, status, reason) =>
+          logger.info('member', {member, status, reason}),
         onFault: err => this.onFault(err),
       },
     });
@@ -310,8 +368,12 @@
       breaker: this.newBreaker(),
       address: this.address,
       incarnation: this.address.bootId,
+      random: this.options.random,
+      keepsObject: true,
+      listAgainMs: LIST_AGAIN_MS,
+      ownRecord: () => this.ownRecord(),
       onLeaving: instances => this.takeLeaving(instances),
-      onPeers: records => this.peers.learnListed(records.map(r => r.address)),
+      onPeers: records => this.member.post({type: 'seed', records}),
     });
   }
 
@@ -324,7 +386,8 @@
       path: configPath,
       decode: decodeConfig,
       versionOf: config => config.version,
-      nodes: () => this.peers.peerCount + 1,
+      isWatcher: () => this.duty.isDue(timers.now()),
+      watchers: () => this.watchers,
       onConfig: (config, source) => this.onConfig(config, source),
       onStore: reachable =>
         logger.warn(reachable ? 'storeRegained' : 'storeLost', {
@@ -355,45 +418,72 @@
     this.options.onConfig(config);
     this.gateway.post({type: 'configure', rules});
     this.gate.post({type: 'configure', rules});
+    this.member.post({type: 'configRevision', revision: version});
   }
 
   private takeLeaving(instances: readonly string[]): void {
     this.gate.post({type: 'left', instances});
+    this.tellLeaving();
     this.markRecalled();
   }
 
-  private async fetchNewer(holder: NodeAddress): Promise<void> {
-    if (this.fetching) return;
-    this.fetching = true;
-    const before = this.config.version;
-    await this.options.timers.pause(CONFIG_PATIENCE_MS);
-    if (this.config.version === before) {
-      const text = await fetchConfig(holder);
-      if (text !== undefined) this.config.offer(text, holder.nodeId);
-    }
-    this.fetching = false;
+  private tellLeaving(): void {
+    const leaving = this.gate.leavingServers;
+    if (leaving.length > 0) this.member.post({type: 'leaving', leaving});
+  }
+
+  // Once, with the server if it speaks soon, so that others need no message about it.
+  private async makeKnown(): Promise<void> {
+    const {timers} = this.options;
+    await Promise.race([this.serverHeard, timers.pause(FIRST_WORD_MS)]);
+    await this.presence.start();
+  }
+
+  private ownRecord(): Pick<MemberRecord, 'version' | 'servers'> {
+    const {servers, version} = this.member.membership.ownRecord;
+    if (servers.length > 0) return {version, servers};
+    const {service} = this.options;
+    const {slots = 1, instance = '', port = 0} = this.announced ?? {};
+    const server = {service, port, slots, instance, state: 'up' as const};
+    return {version: 0, servers: [server]};
   }
 
   private onServers(servers: readonly ServerRecord[]): void {
     const summary = servers.map(s => `${s.service}:${s.instance}:${s.state}`);
     this.options.logger.info('servers', {servers: summary});
-    this.tellMembers();
-    this.peers.tellChange();
+    this.member.post({type: 'servers', servers});
   }
 
-  private tellMembers(
-    records: readonly MemberRecord[] = this.peers.records(),
-  ): void {
-    this.gateway.post({type: 'members', records, cutDomains: []});
+  private tellMembersLater(): void {
+    if (this.membersPending) return;
+    this.membersPending = true;
+    this.options.timers.after(MEMBERS_DELAY_MS, () => {
+      this.membersPending = false;
+      this.tellMembers();
+    });
   }
 
-  private spread(news: MemberNews): void {
-    this.onNews(news);
-    this.peers.spread(news);
+  private tellMembers(): void {
+    const {membership} = this.member;
+    const watchers = watchersOf(membership.reachable(), WATCHERS_PER_DOMAIN);
+    this.watchers = watchers.size;
+    const {nodeId} = this.address;
+    this.duty.choose(this.options.timers.now(), watchers.has(nodeId));
+    const records = membership.records();
+    const {cutDomains} = membership;
+    this.gateway.post({type: 'members', records, cutDomains});
   }
 
-  private onNews(news: MemberNews): void {
+  // News that is new here is passed on.
+  private spread(news: MemberNews): void {
+    if (!this.news.post(this.options.timers.now(), news)) return;
     this.gateway.post({type: 'news', news});
+    this.member.post({type: 'spread', news});
+  }
+
+  private repeatNews(): void {
+    const news = this.news.current(this.options.timers.now());
+    if (news.length > 0) this.member.post({type: 'repeat', news});
   }
 
   private onFault(err: unknown): void {
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -3,7 +3,7 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import {errAsync} from 'neverthrow';
 import {ObjectStore} from './object_store';
-import type {StoredObject, StoreResult} from './object_store';
+import type {ReadOptions, StoredObject, StoreResult} from './object_store';
 
 /** Refuses calls over the budget with `storeBudget`, without sending them. */
 export class BudgetedStore extends ObjectStore {
@@ -23,8 +23,11 @@
     return {made: this.made, failed: this.failed};
   }
 
-  override get(path: string): StoreResult<StoredObject | undefined> {
-    return this.spend(() => this.inner.get(path));
+  override get(
+    path: string,
+    options?: ReadOptions,
+  ): StoreResult<StoredObject | undefined> {
+    return this.spend(() => this.inner.get(path, options));
   }
 
   override put(
@@ -39,8 +42,11 @@
     return this.spend(() => this.inner.remove(path, condition));
   }
 
-  override list(prefix: string): StoreResult<StoredObject[]> {
-    return this.spend(() => this.inner.list(prefix));
+  override list(
+    prefix: string,
+    options?: ReadOptions,
+  ): StoreResult<StoredObject[]> {
+    return this.spend(() => this.inner.list(prefix, options));
   }
 
   override watch(
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -1,6 +1,11 @@
 /** Client of the platform's object API. */
 export {ObjectStore} from './object_store';
-export type {StoredObject, StoreResult, WriteCondition} from './object_store';
+export type {
+  ReadOptions,
+  StoredObject,
+  StoreResult,
+  WriteCondition,
+} from './object_store';
 export {BudgetedStore} from './budgeted_store';
 export {StoreBreaker} from './store_breaker';
 export type {StoreBreakerOptions} from './store_breaker';
--- a/packages/object-store/src/object_store.ts
+++ b/packages/object-store/src/object_store.ts
@@ -9,6 +9,12 @@
   readonly value: string;
 }
 
+/** How an object is read. */
+export interface ReadOptions {
+  /** What was true some seconds ago will do, which is cheaper for the store. */
+  readonly stale?: boolean;
+}
+
 /** Outcome of a call to the store. */
 export type StoreResult<T> = ResultAsync<T, ErrorKind>;
 
@@ -22,7 +28,10 @@
  */
 export abstract class ObjectStore {
   /** Reads an object; undefined if there is none. */
-  abstract get(path: string): StoreResult<StoredObject | undefined>;
+  abstract get(
+    path: string,
+    options?: ReadOptions,
+  ): StoreResult<StoredObject | undefined>;
   /** Writes an object if its version is the given one; answers the new version. */
   abstract put(
     path: string,
@@ -31,7 +40,10 @@
   ): StoreResult<number>;
   /** Removes an object if its version is the given one. */
   abstract remove(path: string, condition: WriteCondition): StoreResult<void>;
-  abstract list(prefix: string): StoreResult<StoredObject[]>;
+  abstract list(
+    prefix: string,
+    options?: ReadOptions,
+  ): StoreResult<StoredObject[]>;
   /** Waits until the object is newer than a version; undefined when the wait ran out. */
   abstract watch(
     path: string,
--- a/packages/peers/src/datagram.ts
+++ b/packages/peers/src/datagram.ts
@@ -1,43 +1,32 @@
 /** What nodes tell each other by datagrams. */
-import type {Clearance, Strike} from '@goldcresthill/quarantine';
-import type {LoadReport, NodeAddress, ServerRecord} from '@goldcresthill/types';
+import type {ExchangeMessage} from '@goldcresthill/membership';
+import type {LoadReport, Millis} from '@goldcresthill/types';
 
-/** A server's load, named by its service. */
-export interface ServerLoadReport {
-  readonly service: string;
-  readonly report: LoadReport;
+/** A message of membership, or the answer to one. */
+export interface ExchangeDatagram {
+  readonly type: 'exchange' | 'answer';
+  /** Joins an answer to its question. */
+  readonly ref: number;
+  readonly message: ExchangeMessage;
+  /** Time since the sender has heard of a node that watches the configuration, milliseconds. */
+  readonly watchedMs: Millis;
 }
 
-/** Everything that a node says of itself. */
-export interface Hello {
-  readonly type: 'hello';
-  readonly address: NodeAddress;
-  /** Rises with each datagram of one process of the node. */
-  readonly seq: number;
-  /** Version of the configuration in force there. */
-  readonly configVersion: number;
-  /** The node takes no new work. */
-  readonly leaving: boolean;
-  readonly servers: readonly ServerRecord[];
-  readonly loads: readonly ServerLoadReport[];
-  readonly strikes: readonly Strike[];
-  readonly clearances: readonly Clearance[];
-  /** Server processes of the sender's VM that have said that they leave. */
-  readonly leavingServers: readonly string[];
-  /** Server processes of the receiver's VM that leave, as it had told before it started anew. */
-  readonly yourLeaving: readonly string[];
-  /** The receiver is to answer with a hello of its own. */
-  readonly asks: boolean;
+/** A gateway asks for the load of the server beside a node. */
+export interface LoadQuestion {
+  readonly type: 'ask';
+  readonly ref: number;
+  readonly service: string;
 }
 
-/** Load alone, which changes far more often than the rest. */
-export interface LoadNews {
+/** Load of the server beside a node now. */
+export interface LoadAnswer {
   readonly type: 'load';
-  readonly nodeId: string;
+  readonly ref: number;
+  /** Process of the answering node. */
   readonly bootId: number;
-  readonly seq: number;
-  readonly configVersion: number;
-  readonly loads: readonly ServerLoadReport[];
+  /** Undefined if there is no server of that service. */
+  readonly report: LoadReport | undefined;
 }
 
-export type Datagram = Hello | LoadNews;
+export type Datagram = ExchangeDatagram | LoadQuestion | LoadAnswer;
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,7 +1,8 @@
-/** Nodes and their load, as heard by datagrams. */
-export {PeerTable} from './peer_table';
-export type {PeerTableOptions} from './peer_table';
+/** Datagrams between nodes: messages of membership, and questions about load. */
 export {decodeDatagram, encodeDatagram} from './datagram_codec';
-export {LoadBroadcast} from './load_broadcast';
-export type {LoadBroadcastOptions} from './load_broadcast';
-export type {Datagram, Hello, LoadNews, ServerLoadReport} from './datagram';
+export type {
+  Datagram,
+  ExchangeDatagram,
+  LoadAnswer,
+  LoadQuestion,
+} from './datagram';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,8 @@
 export {ExpectedTimePolicy, DEFAULT_MECHANISMS} from './expected_time';
 export type {Mechanisms} from './expected_time';
 export {ServerView} from './server_view';
+export {Consultation} from './consultation';
+export type {ConsultationCommand, ConsultationOptions} from './consultation';
 export {LatencyQuantile} from './latency_quantile';
 export {ProbePlanner} from './probe_planner';
 export {subsetOf} from './subset';
--- a/packages/routing/src/server_view.ts
+++ b/packages/routing/src/server_view.ts
@@ -11,6 +11,8 @@
 /** First time a failing server is set aside, milliseconds; doubles each time. */
 const SET_ASIDE_MIN_MS = 100;
 const SET_ASIDE_MAX_MS = 5_000;
+/** First time for which a silent server is not asked, milliseconds; doubles each time. */
+const SILENT_MIN_MS = 50;
 const MICROS_PER_MILLI = 1_000;
 
 /** Where a server stands, seen from the gateway. */
@@ -38,6 +40,8 @@
   networkUs: Micros;
   errorShare = 0;
   setAsideUntil: Millis = -Infinity;
+  private silentUntil: Millis = -Infinity;
+  private silences = 0;
   private failures = 0;
   private networkMeasured = false;
 
@@ -61,6 +65,8 @@
     this.report = report;
     this.reportAt = now - ageMs;
     this.ownAtReport = this.own;
+    this.silences = 0;
+    this.silentUntil = -Infinity;
     if (report.state !== 'up') this.state = report.state;
     else if (this.state === 'draining') this.state = 'up';
   }
@@ -97,7 +103,14 @@
     this.setAsideUntil = now + Math.min(SET_ASIDE_MAX_MS, span);
   }
 
+  /** The server's node did not answer a question that others answered in time. */
+  noteSilent(now: Millis): void {
+    const span = SILENT_MIN_MS * 2 ** Math.min(this.silences, 10);
+    this.silences++;
+    this.silentUntil = now + Math.min(SET_ASIDE_MAX_MS, span);
+  }
+
   isSetAside(now: Millis): boolean {
-    return now < this.setAsideUntil;
+    return now < Math.max(this.setAsideUntil, this.silentUntil);
   }
 }
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -9,6 +9,7 @@
   ServerState,
   ServiceRules,
 } from '@goldcresthill/types';
+import {Consultation, KNOWN_MS} from './consultation';
 import {LatencyQuantile} from './latency_quantile';
 import {policyOf} from './policies';
 import type {Random, RoutingPolicy} from './routing_policy';
@@ -57,6 +58,8 @@
   readonly explain?: boolean;
   /** A second attempt, which may only use room that nobody needs. */
   readonly hedge?: boolean;
+  /** Servers have just been asked, so that those who have answered go first. */
+  readonly consulted?: boolean;
 }
 
 /** What one attempt taught. */
@@ -158,21 +161,32 @@
     this.hedging.configure(this.hedgeOptions);
   }
 
+  /** A consultation about where a call may go. */
+  consult(now: Millis, exclude: readonly string[] = []): Consultation {
+    const {owner, domain, random} = this.options;
+    const candidates = this.inOrder(now, this.usable(exclude)).candidates;
+    return new Consultation({candidates, owner, domain, random});
+  }
+
+  /** The node beside a server says that it has none. */
+  noteAbsent(id: string): void {
+    const view = this.views.get(id);
+    if (view !== undefined) view.state = 'down';
+  }
+
   /** Chooses a server; undefined if none can take a call. */
   pick(
     now: Millis,
     exclude: readonly string[] = [],
     options: PickOptions = {},
   ): Pick | undefined {
-    const {explain = false, hedge = false} = options;
+    const {explain = false, hedge = false, consulted = false} = options;
     const all = this.usable(exclude);
     const usable = hedge ? all.filter(hasSpareRoom) : all;
     if (usable.length === 0) return undefined;
-    const healthy = usable.filter(view => !view.isSetAside(now));
-    const setAside = usable.length - healthy.length;
-    const panic =
-      setAside > usable.length * PANIC_SHARE || healthy.length === 0;
-    const candidates = panic ? usable : healthy;
+    const {candidates: sound, panic} = this.inOrder(now, usable);
+    const setAside = usable.length - sound.length;
+    const candidates = consulted ? knownOf(now, sound) : sound;
     const context = {
       now,
       random: this.options.random,
@@ -304,6 +318,18 @@
     return {percent: hedgePercent, burst, windowMs: retryWindowMs};
   }
 
+  /** Servers that are not set aside, unless that leaves too few. */
+  private inOrder(
+    now: Millis,
+    usable: readonly ServerView[],
+  ): {candidates: readonly ServerView[]; panic: boolean} {
+    const healthy = usable.filter(view => !view.isSetAside(now));
+    const setAside = usable.length - healthy.length;
+    const panic =
+      setAside > usable.length * PANIC_SHARE || healthy.length === 0;
+    return {candidates: panic ? usable : healthy, panic};
+  }
+
   private usable(exclude: readonly string[]): ServerView[] {
     const up = this.active.filter(view => view.state === 'up');
     return exclude.length === 0 ? up : up.filter(v => !exclude.includes(v.id));
@@ -335,6 +361,14 @@
   }
 }
 
+function knownOf(
+  now: Millis,
+  views: readonly ServerView[],
+): readonly ServerView[] {
+  const known = views.filter(view => now - view.reportAt <= KNOWN_MS);
+  return known.length > 0 ? known : views;
+}
+
 function hasSpareRoom(view: ServerView): boolean {
   if (view.errorShare > HEDGE_ERROR_SHARE) return false;
   const reported = (view.report?.inFlight ?? 0) + (view.report?.queued ?? 0);
--- a/packages/tickets/src/ticket.ts
+++ b/packages/tickets/src/ticket.ts
@@ -51,6 +51,8 @@
   max_retries: fields.integer(0, 10).default(D.maxRetries),
   retry_percent: fields.decimal(0, 100).default(D.retryPercent),
   retry_burst: fields.integer(0, 10_000).default(D.retryBurst),
+  retry_pool: fields.integer(0, 1_000_000).default(D.retryPool),
+  retry_window_ms: fields.integer(1_000, 600_000).default(D.retryWindowMs),
   hedge_percent: fields.decimal(0, 50).default(D.hedgePercent),
   hedge_quantile: fields.decimal(50, 99.9).default(D.hedgeQuantile),
   probes_per_second: fields.decimal(0, 10_000).default(D.probesPerSecond),
