--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -86,6 +86,8 @@
 
 /** Hedged attempts that may be made at once. */
 const HEDGE_BURST = 3;
+/** Hedged attempts are saved up for a shorter time than resends. */
+const HEDGE_WINDOW_SHARE = 0.25;
 /** A hedged attempt goes to servers below this share of their limit. */
 const HEDGE_UTILISATION = 0.7;
 /** A hedged attempt does not go to servers above this share of errors. */
@@ -315,7 +317,11 @@
   private get hedgeOptions(): WindowBudgetOptions {
     const {hedgePercent, retryWindowMs} = this.rules;
     const burst = Math.min(HEDGE_BURST, this.retryOptions.burst ?? 0);
-    return {percent: hedgePercent, burst, windowMs: retryWindowMs};
+    return {
+      percent: hedgePercent,
+      burst,
+      windowMs: retryWindowMs * HEDGE_WINDOW_SHARE,
+    };
   }
 
   /** Servers that are not set aside, unless that leaves too few. */
