--- /dev/null
+++ b/packages/peers/src/datagram_codec_test.ts
@@ -0,0 +1,112 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {Datagram} from './datagram';
+import {decodeDatagram, encodeDatagram} from './datagram_codec';
+
+const count = fc.nat({max: 2 ** 40});
+const name = fc.string({minLength: 1, maxLength: 12});
+const state = fc.constantFrom('up', 'draining', 'down');
+const address = fc.record({
+  nodeId: name,
+  bootId: count,
+  host: name,
+  dataPort: count,
+  controlPort: count,
+  domain: name,
+  region: name,
+});
+const server = fc.record({
+  service: name,
+  port: count,
+  slots: count,
+  instance: fc.string(),
+  state,
+});
+const record = fc.record({
+  address,
+  incarnation: count,
+  version: count,
+  status: fc.constantFrom('alive', 'suspect', 'dead', 'left'),
+  servers: fc.array(server, {maxLength: 2}),
+  leaving: fc.array(name, {maxLength: 2}),
+});
+const news = fc.oneof(
+  fc.record({
+    type: fc.constant('strike'),
+    fingerprint: name,
+    instance: name,
+    at: count,
+  }),
+  fc.record({type: fc.constant('clearance'), fingerprint: name, at: count}),
+);
+const hash = fc.nat({max: 2 ** 32 - 1});
+const exchange = fc.record({
+  type: fc.constantFrom('exchange', 'answer'),
+  ref: count,
+  watchedMs: count,
+  message: fc.record({
+    from: address,
+    records: fc.array(record, {maxLength: 3}),
+    news: fc.array(news, {maxLength: 3}),
+    digest: hash,
+    buckets: fc.array(hash, {maxLength: 4}),
+    configRevision: count,
+    probeTarget: fc.option(name, {nil: undefined}),
+    probeReached: fc.boolean(),
+  }),
+});
+const report = fc.record({
+  inFlight: count,
+  queued: count,
+  limit: count,
+  serviceUs: count,
+  slowdown: fc.nat({max: 1_000}).map(percent => percent / 100),
+  state,
+});
+const load = fc.record({
+  type: fc.constant('load'),
+  ref: count,
+  bootId: count,
+  report: fc.option(report, {nil: undefined}),
+});
+const ask = fc.record({type: fc.constant('ask'), ref: count, service: name});
+const datagram = fc.oneof(exchange, load, ask) as fc.Arbitrary<Datagram>;
+
+describe('datagrams', () => {
+  it('read as they were written', () => {
+    fc.assert(
+      fc.property(datagram, sent => {
+        const read = decodeDatagram(Buffer.from(encodeDatagram(sent)));
+        expect(read).toEqual(sent);
+      }),
+      {seed: 16, numRuns: 500},
+    );
+  });
+
+  it('of any other bytes are dropped', () => {
+    const cut = fc
+      .tuple(datagram, fc.nat({max: 400}))
+      .map(([sent, at]) => Buffer.from(encodeDatagram(sent)).subarray(0, at))
+      .filter(bytes => !bytes.toString().endsWith(']'));
+    const bytes = fc.oneof(
+      cut,
+      fc.uint8Array().map(a => Buffer.from(a)),
+      fc.jsonValue().map(value => Buffer.from(JSON.stringify(value))),
+    );
+    fc.assert(
+      fc.property(bytes, noise => decodeDatagram(noise) === undefined),
+      {seed: 16, numRuns: 1_000},
+    );
+  });
+
+  it('about load take under a hundred bytes', () => {
+    const full = {inFlight: 100, queued: 200, limit: 256, serviceUs: 1_000_000};
+    const answer = encodeDatagram({
+      type: 'load',
+      ref: 1_000_000,
+      bootId: 1_800_000_000_000_000,
+      report: {...full, slowdown: 4, state: 'draining'},
+    });
+    expect(answer.length).toBeLessThan(100);
+  });
+});
