--- a/packages/membership/src/domain_contacts.ts
+++ b/packages/membership/src/domain_contacts.ts
@@ -2,6 +2,8 @@
 import type {NodeAddress} from '@goldcresthill/types';
 import {hashText} from './member_record';
 
+/** Nodes of a domain that talk to others in each round. */
+const TALKERS = 8;
 /** Different contacts in a row that must fail before a domain counts as cut off. */
 const FAILURES_TO_CUT = 3;
 
@@ -20,6 +22,7 @@
 export class DomainContacts {
   private readonly contacts = new Map<string, Contact>();
   private turn = 0;
+  private rounds = 0;
 
   constructor(private readonly self: NodeAddress) {}
 
@@ -38,12 +41,19 @@
     }
   }
 
-  /** Nodes to talk to in this round: one that is in order, and all that are in doubt. */
-  due(): string[] {
+  /**
+   * Nodes to talk to in this round: one that is in order, and all that are in
+   * doubt. Nodes of a large domain take turns, as what one of them hears the
+   * others soon know.
+   */
+  due(ownDomainNodes: number): string[] {
     const entries = [...this.contacts.values()];
     if (entries.length === 0) return [];
+    const every = Math.max(1, Math.round(ownDomainNodes / TALKERS));
+    if (this.rounds++ % every !== 0)
+      return currentOfAll(entries.filter(isInDoubt));
     const next = entries[this.turn++ % entries.length];
-    return entries.filter(c => c === next || c.failures > 0).flatMap(currentOf);
+    return currentOfAll(entries.filter(c => c === next || isInDoubt(c)));
   }
 
   /** Contacts in domains that can be reached. */
@@ -97,6 +107,14 @@
   }
 }
 
+function isInDoubt({failures}: Contact): boolean {
+  return failures > 0;
+}
+
+function currentOfAll(contacts: readonly Contact[]): string[] {
+  return contacts.flatMap(currentOf);
+}
+
 function currentOf(contact: Contact): string[] {
   const node = contact.nodes[contact.position % contact.nodes.length];
   return node === undefined ? [] : [node];
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -22,6 +22,8 @@
 const MISSES_TO_SUSPECT = 2;
 /** Nodes told at once when there is news. */
 const FANOUT = 3;
+/** Nodes of a domain that tell news to other domains, on average. */
+const CROSSING_NODES = 6;
 /** Nodes asked to reach one that does not answer. */
 const HELPERS = 2;
 /** Every this many rounds a dead node is tried again. */
@@ -42,6 +44,7 @@
   private readonly suspicionMs: number;
   private readonly contacts: DomainContacts;
   private successors: string[] = [];
+  private domainNodes = 1;
   private linksStale = true;
   private roundAt: Millis;
   private round = 0;
@@ -419,7 +422,7 @@
     this.refreshLinks();
     const next = this.successors[this.cursor++ % this.successors.length];
     if (next !== undefined) this.send(now, next, commands, undefined);
-    for (const peer of this.contacts.due())
+    for (const peer of this.contacts.due(this.domainNodes))
       this.send(now, peer, commands, undefined);
     // Peers that did not answer are asked again each round, to tell a lost message from a dead node.
     for (const peer of this.misses.keys()) {
@@ -449,16 +452,27 @@
   private push(now: Millis, commands: MemberCommand[]): void {
     this.pushDue = false;
     this.refreshLinks();
-    const neighbours = [...this.successors, ...this.contacts.reachable()];
-    const start = Math.floor(this.options.random() * neighbours.length);
-    for (let i = 0; i < Math.min(FANOUT, neighbours.length); i++) {
-      const peer = neighbours[(start + i) % neighbours.length];
-      if (peer !== undefined) this.send(now, peer, commands, undefined);
+    for (const peer of this.drawListeners()) {
+      this.send(now, peer, commands, undefined);
     }
     // What is left to tell goes out with the next tick.
     if (this.desk.hasNews) this.pushDue = true;
   }
 
+  // News leaves a domain by a few of its nodes, as bytes between domains are dear.
+  private drawListeners(): string[] {
+    const {random} = this.options;
+    const far = this.contacts.reachable();
+    const crosses = random() * this.domainNodes < CROSSING_NODES;
+    const neighbours = crosses ? [...this.successors, ...far] : this.successors;
+    const start = Math.floor(random() * neighbours.length);
+    const count = Math.min(FANOUT, neighbours.length);
+    return Array.from(
+      {length: count},
+      (_, i) => neighbours[(start + i) % neighbours.length] ?? '',
+    );
+  }
+
   private send(
     now: Millis,
     peer: string,
@@ -487,6 +501,7 @@
     const alive = this.reachable();
     const count = this.options.successors ?? DEFAULT_SUCCESSORS;
     this.successors = successorsOf(this.self.address, alive, count);
+    this.domainNodes = alive.filter(n => n.domain === this.domain).length;
     this.contacts.update(alive);
   }
 
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -37,7 +37,7 @@
 /** Below the longest wait that the store allows, milliseconds. */
 const MAX_WATCH_MS = 25_000;
 /** Wait before a first read that found nothing is made again, milliseconds. */
-const ABSENT_MS = 250;
+const ABSENT_MS = 2_000;
 
 /** Holds the newest configuration of one process; it never takes an older one. */
 export class ConfigFollower<T> {
@@ -46,6 +46,8 @@
   private timer: Cancel | undefined;
   private closed = false;
   private reachable = true;
+  /** The store has no configuration yet. */
+  private absent = false;
 
   constructor(private readonly options: ConfigFollowerOptions<T>) {}
 
@@ -97,16 +99,17 @@
     const watching = this.options.isWatcher();
     if (!watching && this.held !== undefined) return IDLE_MS;
     if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
-    const read =
-      this.revision === 0 || !watching
-        ? await store.get(path, {stale: !watching})
-        : await store.watch(path, this.revision, this.watchMs);
+    const waits = watching && (this.revision > 0 || this.absent);
+    const read = waits
+      ? await store.watch(path, this.revision, this.watchMs)
+      : await store.get(path, {stale: !watching});
     if (this.closed) return 0;
     if (read.isErr()) {
       breaker.fail(timers.now());
       this.noteReachable(false);
       // A watch that failed may have missed a change.
       this.revision = 0;
+      this.absent = false;
       return breaker.waitMs(timers.now());
     }
     breaker.succeed();
@@ -120,12 +123,22 @@
   }
 
   private take(object: StoredObject | undefined): number {
-    if (object === undefined) return this.revision === 0 ? ABSENT_MS : 0;
+    if (object === undefined) return this.takeAbsence();
+    this.absent = false;
     this.revision = object.version;
     this.offer(object.value, 'store');
     return 0;
   }
 
+  // A watcher hears of the first configuration from the store, others from a watcher.
+  private takeAbsence(): number {
+    if (this.options.isWatcher()) {
+      this.absent = this.revision === 0;
+      return 0;
+    }
+    return ABSENT_MS;
+  }
+
   private noteReachable(reachable: boolean): void {
     if (reachable === this.reachable) return;
     this.reachable = reachable;
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -2,7 +2,11 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {MemberRecord} from '@goldcresthill/membership';
 import type {ErrorKind} from '@goldcresthill/errors';
-import type {ObjectStore, StoreBreaker} from '@goldcresthill/object-store';
+import type {
+  ObjectStore,
+  StoreBreaker,
+  StoredObject,
+} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {Millis, NodeAddress} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
@@ -137,21 +141,28 @@
 
   // Most nodes start for the first time, so that a write alone does.
   private async write(): Promise<boolean> {
-    const created = await this.put(0);
-    if (created.isOk()) {
-      this.options.onLeaving?.([]);
-      return true;
-    }
-    return created.error === 'storeConflict' && this.takeOver();
+    const {store, address} = this.options;
+    const path = this.path(address.nodeId);
+    const creation = await store.create(path, this.value());
+    if (creation.isErr()) return false;
+    const {created, object} = creation.value;
+    if (!created) return this.takeOver(object);
+    this.version = object.version;
+    this.options.onLeaving?.([]);
+    return true;
   }
 
-  // An earlier process of this node has written the object.
-  private async takeOver(): Promise<boolean> {
-    const {store, address, keepsObject = false} = this.options;
+  private async readAgain(): Promise<boolean> {
+    const {store, address} = this.options;
     const found = await store.get(this.path(address.nodeId));
-    if (found.isErr()) return false;
-    const version = found.value?.version ?? 0;
-    const previous = readPresence(found.value?.value ?? '');
+    return found.isOk() && this.takeOver(found.value);
+  }
+
+  // An earlier process of this node has written the object.
+  private async takeOver(found: StoredObject | undefined): Promise<boolean> {
+    const {address, keepsObject = false} = this.options;
+    const version = found?.version ?? 0;
+    const previous = readPresence(found?.value ?? '');
     this.takeLeavings(previous?.leaving ?? []);
     const told = previous?.leaving ?? [];
     const isTold = this.leaving.every(instance => told.includes(instance));
@@ -163,23 +174,27 @@
   }
 
   private async replace(): Promise<boolean> {
-    if (this.version === undefined) return this.takeOver();
+    if (this.version === undefined) return this.readAgain();
     const put = await this.put(this.version);
     if (put.isOk()) return true;
     this.version = undefined;
-    return this.takeOver();
+    return this.readAgain();
   }
 
   private async put(condition: number): Promise<Result<number, ErrorKind>> {
-    const {store, address, incarnation, ownRecord} = this.options;
-    const {leaving} = this;
-    const value = {address, incarnation, ...ownRecord?.(), leaving};
+    const {store, address} = this.options;
     const path = this.path(address.nodeId);
-    const put = await store.put(path, JSON.stringify(value), condition);
+    const put = await store.put(path, this.value(), condition);
     if (put.isOk()) this.version = put.value;
     return put;
   }
 
+  private value(): string {
+    const {address, incarnation, ownRecord} = this.options;
+    const {leaving} = this;
+    return JSON.stringify({address, incarnation, ...ownRecord?.(), leaving});
+  }
+
   private takeLeavings(previous: readonly string[]): void {
     const {leaving} = this;
     const more = previous.filter(i => !leaving.includes(i));
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -66,7 +66,7 @@
 const MILLIS_PER_SECOND = 1_000;
 const BOOT_FRACTION = 1_000;
 /** Nodes of each failure domain that wait for changes of the configuration. */
-const WATCHERS_PER_DOMAIN = 3;
+const WATCHERS_PER_DOMAIN = 2;
 /** A node watches by itself when it has not heard of a watcher for this share of the time that a change may take. */
 const PATIENCE_SHARE = 0.6;
 /** Interval between messages to other nodes, milliseconds. */
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -3,7 +3,12 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import {errAsync} from 'neverthrow';
 import {ObjectStore} from './object_store';
-import type {ReadOptions, StoredObject, StoreResult} from './object_store';
+import type {
+  Creation,
+  ReadOptions,
+  StoredObject,
+  StoreResult,
+} from './object_store';
 
 /** Refuses calls over the budget with `storeBudget`, without sending them. */
 export class BudgetedStore extends ObjectStore {
@@ -38,6 +43,10 @@
     return this.spend(() => this.inner.put(path, value, condition));
   }
 
+  override create(path: string, value: string): StoreResult<Creation> {
+    return this.spend(() => this.inner.create(path, value));
+  }
+
   override remove(path: string, condition: number): StoreResult<void> {
     return this.spend(() => this.inner.remove(path, condition));
   }
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -1,6 +1,7 @@
 /** Client of the platform's object API. */
 export {ObjectStore} from './object_store';
 export type {
+  Creation,
   ReadOptions,
   StoredObject,
   StoreResult,
--- a/packages/object-store/src/object_store.ts
+++ b/packages/object-store/src/object_store.ts
@@ -1,5 +1,6 @@
 /** The object API as the rest of the program sees it. */
 import type {ErrorKind} from '@goldcresthill/errors';
+import {errAsync, okAsync} from 'neverthrow';
 import type {ResultAsync} from 'neverthrow';
 
 /** An object and the version that the store gave it. Versions only rise. */
@@ -9,6 +10,13 @@
   readonly value: string;
 }
 
+/** Outcome of a creation. */
+export interface Creation {
+  readonly created: boolean;
+  /** The object as it is now: the one that was there before if it was not created. */
+  readonly object: StoredObject;
+}
+
 /** How an object is read. */
 export interface ReadOptions {
   /** What was true some seconds ago will do, which is cheaper for the store. */
@@ -38,6 +46,15 @@
     value: string,
     condition: WriteCondition,
   ): StoreResult<number>;
+  /** Creates an object, unless there is one already. */
+  create(path: string, value: string): StoreResult<Creation> {
+    return this.put(path, value, 0)
+      .map(version => ({created: true, object: {path, version, value}}))
+      .orElse(kind =>
+        kind === 'storeConflict' ? this.readExisting(path) : errAsync(kind),
+      );
+  }
+
   /** Removes an object if its version is the given one. */
   abstract remove(path: string, condition: WriteCondition): StoreResult<void>;
   abstract list(
@@ -51,4 +68,12 @@
     waitMs: number,
   ): StoreResult<StoredObject | undefined>;
   abstract close(): Promise<void>;
+
+  private readExisting(path: string): StoreResult<Creation> {
+    return this.get(path).andThen(object =>
+      object === undefined
+        ? errAsync<Creation, ErrorKind>('storeUnavailable')
+        : okAsync({created: false, object}),
+    );
+  }
 }
