--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -189,6 +189,10 @@
     return this.withDrained(this.startWaiting(now));
   }
 
+  get hasWaiting(): boolean {
+    return this.line.size > 0;
+  }
+
   /** Whether the server is slower than it is otherwise. */
   get isSlow(): boolean {
     return this.forecast.isSlow;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -188,6 +188,11 @@
     return commands;
   }
 
+  /** Whether there is something to tell before the next round. */
+  get hasNews(): boolean {
+    return this.pushDue;
+  }
+
   /** Everything known, this node included. */
   records(): readonly MemberRecord[] {
     return this.table.records();
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -30,7 +30,7 @@
 }
 
 /** Interval at which a node looks whether it has become a watcher, milliseconds. */
-const IDLE_MS = 250;
+const IDLE_MS = 500;
 /** Time after which some watcher of the fleet renews its watch, so that watches gone silent are noticed, milliseconds. */
 const FLEET_RENEWAL_MS = 1_500;
 const MIN_WATCH_MS = 3_000;
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -43,8 +43,10 @@
 
 /** Several times the interval at which servers announce themselves, milliseconds. */
 const DEFAULT_ANNOUNCE_TTL_MS = 3_500;
-const TICK_MS = 100;
-const EVICT_EVERY_TICKS = 10;
+/** Interval at which requests in line are looked at, milliseconds. */
+const LINE_TICK_MS = 100;
+/** Interval at which old entries are dropped and silent servers are noticed, milliseconds. */
+const TICK_MS = 1_000;
 
 /** The only way to the servers of this VM. */
 export class GateTask extends Task<GateMessage> {
@@ -56,7 +58,7 @@
   private rules: ReadonlyMap<string, ServiceRules> = new Map();
   private drainedServices = new Set<string>();
   private leaving = false;
-  private ticks = 0;
+  private lineTimer: Cancel | undefined;
   private lastTold = '[]';
 
   constructor(private readonly options: GateTaskOptions) {
@@ -71,6 +73,7 @@
   override async close(): Promise<void> {
     this.closed = true;
     this.timer();
+    this.lineTimer?.();
     await Promise.all([...this.links.values()].map(link => link.close()));
   }
 
@@ -151,6 +154,10 @@
       case 'tick':
         this.tick();
         return;
+      case 'line':
+        this.links.forEach(link => link.tick());
+        this.watchLines();
+        return;
     }
   }
 
@@ -174,7 +181,9 @@
       });
       return () => undefined;
     }
-    return link.attempt(this.withUrgency(req));
+    const cancel = link.attempt(this.withUrgency(req));
+    this.watchLines();
+    return cancel;
   }
 
   // Without the calls of a request that runs elsewhere, what it has done is lost.
@@ -329,7 +338,7 @@
       void link.close();
       return;
     }
-    this.options.timers.after(TICK_MS, () => this.closeWhenIdle(link));
+    this.options.timers.after(LINE_TICK_MS, () => this.closeWhenIdle(link));
   }
 
   private configure(rules: ReadonlyMap<string, ServiceRules>): void {
@@ -355,8 +364,17 @@
       link.tick();
       if (now - link.heardAt > ttlMs) this.dismiss(link);
     }
-    this.ticks++;
-    if (this.ticks % EVICT_EVERY_TICKS === 0) this.ledger.evict(now);
+    this.ledger.evict(now);
+  }
+
+  // Only requests in line are to be looked at often.
+  private watchLines(): void {
+    const waiting = [...this.links.values()].some(link => link.hasWaiting);
+    if (!waiting || this.closed || this.lineTimer !== undefined) return;
+    this.lineTimer = this.options.timers.after(LINE_TICK_MS, () => {
+      this.lineTimer = undefined;
+      this.post({type: 'line'});
+    });
   }
 
   private tellServers(): void {
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -18,7 +18,7 @@
 }
 
 /** A figure of that age is not asked for again, as speed stays for longer, milliseconds. */
-const FRESH_MS = 40;
+const FRESH_MS = 60;
 /** Longest wait for the server's answer; whoever asked then takes the last figure, milliseconds. */
 const WAIT_MS = 5;
 /** A slow server is asked again while someone was interested in it for that long, milliseconds. */
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -100,7 +100,9 @@
       readonly rules: ReadonlyMap<string, ServiceRules>;
     }
   | {readonly type: 'drain'}
-  | {readonly type: 'tick'};
+  | {readonly type: 'tick'}
+  /** Requests in line are to be looked at. */
+  | {readonly type: 'line'};
 
 /** What the gate task tells the rest of the node. */
 export interface GateEvents {
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -180,6 +180,10 @@
     this.execute(this.gate.markDown());
   }
 
+  get hasWaiting(): boolean {
+    return this.gate.hasWaiting;
+  }
+
   get inFlight(): number {
     return this.requests.size;
   }
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -58,12 +58,15 @@
   readonly events: MemberEvents;
 }
 
-const TICKS_PER_ROUND = 10;
+const TICKS_PER_ROUND = 4;
+/** News waits for more of it for that share of a round before it is told. */
+const NEWS_SHARE = 0.1;
 
 /** Membership of one node, on real connections. */
 export class MemberTask extends Task<MemberMessage> {
   readonly membership: Membership;
   private readonly timer: Cancel;
+  private newsTimer: Cancel | undefined;
   private fetching = false;
 
   constructor(private readonly options: MemberTaskOptions) {
@@ -85,16 +88,32 @@
   receive(message: ExchangeMessage): ExchangeMessage {
     const {answer, commands} = this.membership.receive(this.now(), message);
     this.execute(commands);
+    this.tellNewsSoon();
     return answer;
   }
 
   override async close(): Promise<void> {
     this.closed = true;
     this.timer();
+    this.newsTimer?.();
     this.options.links.close();
   }
 
   protected override handle(message: MemberMessage): void {
+    this.take(message);
+    this.tellNewsSoon();
+  }
+
+  private tellNewsSoon(): void {
+    if (this.newsTimer !== undefined || !this.membership.hasNews) return;
+    const {timers, roundMs} = this.options;
+    this.newsTimer = timers.after(roundMs * NEWS_SHARE, () => {
+      this.newsTimer = undefined;
+      this.post({type: 'tick'});
+    });
+  }
+
+  private take(message: MemberMessage): void {
     const now = this.now();
     const {membership} = this;
     switch (message.type) {
--- a/packages/routing/src/consultation.ts
+++ b/packages/routing/src/consultation.ts
@@ -23,8 +23,14 @@
     }
   | {readonly type: 'choose'};
 
-/** Servers asked at once. With a quarter of all servers slow, one in a thousand rounds finds none in order. */
-const BREADTH = 5;
+/**
+ * Servers asked in each round, the next one only if none of those before has
+ * room. Most rounds end with the first: with a quarter of all servers slow and
+ * some full, two find one in order four times in five.
+ */
+const BREADTHS = [2, 4, 5] as const;
+/** Rounds in the own failure domain, while it has servers that have not been asked. */
+const NEAR_ROUNDS = 2;
 /** Knowledge of that age is as good as an answer, milliseconds. */
 const FRESH_MS = 15;
 /** Longest wait for answers, milliseconds; nodes answer within one, unless they are short of processor time. */
@@ -52,12 +58,7 @@
 
   /** Starts; what is known well enough is not asked for. */
   begin(now: Millis): ConsultationCommand {
-    const {candidates, domain, owner} = this.options;
-    const near = candidates.filter(view => view.domain === domain);
-    const own = near.filter(view => view.nodeId === owner);
-    const chosen = [...own, ...this.draw(near, BREADTH - own.length, own)];
-    const rest = BREADTH - chosen.length;
-    return this.ask(now, [...chosen, ...this.draw(candidates, rest, near)]);
+    return this.askNext(now);
   }
 
   /** A server has answered, or cannot. */
@@ -77,9 +78,22 @@
 
   private conclude(now: Millis): ConsultationCommand {
     const found = [...this.asked].some(view => hasRoom(now, view));
-    if (found || this.round > 1) return this.choose();
-    const {candidates} = this.options;
-    return this.ask(now, this.draw(candidates, BREADTH, [...this.asked]));
+    return found ? this.choose() : this.askNext(now);
+  }
+
+  // Where the own domain has too few servers for a round, others fill it up.
+  private askNext(now: Millis): ConsultationCommand {
+    const breadth = BREADTHS[this.round];
+    if (breadth === undefined) return this.choose();
+    const {candidates, domain, owner} = this.options;
+    const left = candidates.filter(view => !this.asked.has(view));
+    const near = left.filter(view => view.domain === domain);
+    const own = near.filter(view => view.nodeId === owner);
+    const wanted = this.round < NEAR_ROUNDS ? breadth - own.length : 0;
+    const chosen = [...own, ...this.draw(near, wanted, own)];
+    const rest = breadth - chosen.length;
+    const far = left.filter(view => !chosen.includes(view));
+    return this.ask(now, [...chosen, ...this.draw(far, rest)]);
   }
 
   private ask(now: Millis, views: readonly ServerView[]): ConsultationCommand {
@@ -89,9 +103,7 @@
     if (unknown.length < views.length && views.some(v => isEasy(now, v))) {
       return this.choose();
     }
-    if (unknown.length === 0) {
-      return views.length > 0 ? this.conclude(now) : this.choose();
-    }
+    if (unknown.length === 0) return this.conclude(now);
     unknown.forEach(view => this.waiting.add(view));
     return {type: 'ask', views: unknown, waitMs: WAIT_MS};
   }
@@ -104,7 +116,7 @@
   private draw(
     from: readonly ServerView[],
     count: number,
-    without: readonly ServerView[],
+    without: readonly ServerView[] = [],
   ): ServerView[] {
     const left = from.filter(view => !without.includes(view));
     const drawn: ServerView[] = [];
