--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -29,6 +29,8 @@
   };
   /** Configuration in force as it was read, for nodes that cannot read it themselves. */
   readonly configText?: () => string | undefined;
+  /** Records of all nodes, for nodes that have just started. */
+  readonly membersText?: () => string;
 }
 
 /** Operations besides calls, named by the path. */
@@ -38,6 +40,7 @@
   acknowledge: '/.gh/acknowledge',
   key: '/.gh/key/',
   config: '/.gh/config',
+  members: '/.gh/members',
 } as const;
 
 const MAX_BODY_BYTES = 67_108_864;
@@ -84,7 +87,10 @@
       this.options.gate.post({type: 'acknowledge', id});
       res.writeHead(204).end();
     } else if (path.startsWith(OPERATIONS.key)) this.askKey(path, req, res);
-    else if (path === OPERATIONS.config) this.config(res);
+    else if (path === OPERATIONS.config)
+      writeText(res, this.options.configText?.());
+    else if (path === OPERATIONS.members)
+      writeText(res, this.options.membersText?.());
     else refuse(res, 'wrongInterface');
   }
 
@@ -187,12 +193,6 @@
     this.options.gate.post({type: 'resolve', id, gateIncarnation, reply});
   }
 
-  private config(res: ServerResponse): void {
-    const text = this.options.configText?.();
-    if (text === undefined) refuse(res, 'noServer');
-    else res.writeHead(200, {'content-type': 'application/json'}).end(text);
-  }
-
   private askKey(
     path: string,
     req: IncomingMessage,
@@ -229,6 +229,11 @@
   return headers;
 }
 
+function writeText(res: ServerResponse, text: string | undefined): void {
+  if (text === undefined) refuse(res, 'noServer');
+  else res.writeHead(200, {'content-type': 'application/json'}).end(text);
+}
+
 function refuse(
   res: ServerResponse,
   kind: 'wrongInterface' | 'badHeader' | 'noServer',
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -133,11 +133,20 @@
 }
 
 /** Reads the configuration that another node has in force; undefined if it cannot be had. */
-export async function fetchConfig(
-  holder: NodeAddress,
+export function fetchConfig(holder: NodeAddress): Promise<string | undefined> {
+  return fetchText(holder, OPERATIONS.config);
+}
+
+/** Reads the records that another node holds; undefined if they cannot be had. */
+export function fetchMembers(holder: NodeAddress): Promise<string | undefined> {
+  return fetchText(holder, OPERATIONS.members);
+}
+
+async function fetchText(
+  {host, dataPort}: NodeAddress,
+  path: string,
 ): Promise<string | undefined> {
-  const {host, dataPort} = holder;
-  const result = await askOnce(host, dataPort, OPERATIONS.config, {});
+  const result = await askOnce(host, dataPort, path, {});
   if (result.type === 'broke' || result.status !== 200) return undefined;
   return result.body.type === 'whole'
     ? result.body.bytes.toString()
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -8,7 +8,7 @@
   StoredObject,
 } from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {Millis, NodeAddress} from '@goldcresthill/types';
+import type {NodeAddress} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 import * as z from 'zod';
 
@@ -58,14 +58,13 @@
   readonly ownRecord?: () => Pick<MemberRecord, 'version' | 'servers'>;
   /** A node that starts anew at the same place leaves its object as it is. */
   readonly keepsObject?: boolean;
-  readonly random?: () => number;
-  /** Instants after the first list at which it is read again, for nodes that start together, milliseconds. */
-  readonly listAgainMs?: readonly Millis[];
+  /** Only as many others are read as the store lists at once; these know the rest. */
+  readonly listsFew?: boolean;
 }
 
 const RETRY_MS = 200;
-/** Share by which the instants of further lists are spread. */
-const SPREAD_SHARE = 0.3;
+/** Nodes among which one is found that lives and knows the rest. */
+const ENOUGH_PEERS = 8;
 /** Server processes of one VM that are remembered; more than end within the time that reports can be late. */
 const MAX_LEAVING = 8;
 
@@ -76,7 +75,6 @@
   private closed = false;
   private listed = false;
   private leaving: readonly string[] = [];
-  private readonly again: Cancel[] = [];
 
   constructor(private readonly options: PresenceOptions) {}
 
@@ -121,7 +119,6 @@
   close(): void {
     this.closed = true;
     this.timer?.();
-    this.again.forEach(cancel => cancel());
   }
 
   private retryLater(): void {
@@ -203,10 +200,11 @@
   }
 
   private async list(): Promise<boolean> {
-    const {store, onPeers, address} = this.options;
-    const found = await store.list(PREFIX, {stale: true});
+    const {store, onPeers, address, listsFew = false} = this.options;
+    const found = await (listsFew
+      ? this.listNext()
+      : store.list(PREFIX, {stale: true}));
     if (found.isErr()) return false;
-    if (!this.listed) this.listAgainLater();
     this.listed = true;
     const values = found.value.flatMap(
       object => readPresence(object.value) ?? [],
@@ -217,16 +215,14 @@
     return true;
   }
 
-  private listAgainLater(): void {
-    const {timers, listAgainMs = [], random = Math.random} = this.options;
-    for (const delayMs of listAgainMs) {
-      const spread = 1 + SPREAD_SHARE * random();
-      this.again.push(
-        timers.after(delayMs * spread, () => {
-          if (!this.closed) void this.list();
-        }),
-      );
-    }
+  // Names often tell the domain, so that those that follow the own one are near. The last are followed by the first.
+  private async listNext(): Promise<Result<StoredObject[], ErrorKind>> {
+    const {store, address} = this.options;
+    const few = {stale: true, onePage: true};
+    const next = await store.list(PREFIX, {...few, after: address.nodeId});
+    if (next.isErr() || next.value.length >= ENOUGH_PEERS) return next;
+    const first = await store.list(PREFIX, few);
+    return first.map(objects => [...next.value, ...objects]);
   }
 
   private path(nodeId: string): string {
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -23,7 +23,9 @@
 import {GatewayTask} from '../gateway/gateway_task';
 import {BodyBudget} from '../http/body';
 import {Presence} from '../member/presence';
+import {encodeRecords} from '@goldcresthill/peers';
 import {DatagramLinks} from '../peers/datagram_links';
+import {TableFetcher} from '../peers/table_fetcher';
 import {NewsBoard} from '../peers/news_board';
 import {MemberTask} from '../member/member_task';
 import type {SidecarConfig} from './sidecar_config';
@@ -79,8 +81,6 @@
 const MEMBERS_DELAY_MS = 50;
 /** Longest wait for the server's first word before this node makes itself known without it, milliseconds. */
 const FIRST_WORD_MS = 700;
-/** Instants after the first list of nodes at which it is read again, milliseconds. */
-const LIST_AGAIN_MS = [3_500, 8_000];
 
 /** Longest wait before the store is tried again, milliseconds; lapsed entries are due back within two seconds. */
 const MAX_STORE_WAIT_MS = 1_000;
@@ -94,6 +94,7 @@
   private readonly links: DatagramLinks;
   private readonly member: MemberTask;
   private readonly duty: WatchDuty;
+  private readonly tableFetcher: TableFetcher;
   private readonly news = new NewsBoard();
   private readonly presence: Presence;
   private readonly config: ConfigFollower<SidecarConfig>;
@@ -135,6 +136,7 @@
     });
     this.links = this.makeLinks();
     this.member = this.makeMember();
+    this.tableFetcher = this.makeTableFetcher();
     this.presence = this.makePresence();
     this.config = this.makeConfig();
   }
@@ -226,6 +228,7 @@
 
   async close(): Promise<void> {
     this.cancelNews();
+    this.tableFetcher.close();
     this.config.close();
     this.presence.close();
     await Promise.all([
@@ -319,6 +322,7 @@
       budget: this.budget,
       askKey: token => this.gateway.askKey(token),
       configText: () => this.config.text,
+      membersText: () => encodeRecords(this.member.membership.records()),
     });
   }
 
@@ -354,13 +358,28 @@
         onLeaving: instances => this.takeLeaving(instances),
         heldRevision: () => this.config.version,
         onDelta: ({delta}) => this.config.offer(delta, 'peer'),
-        onStatus: (member, status, reason) =>
-          logger.info('member', {member, status, reason}),
+        onStatus: (member, status, reason) => {
+          // Nodes that are in order are counted, not listed.
+          if (status === 'alive') return;
+          logger.info('member', {member, status, reason});
+        },
         onFault: err => this.onFault(err),
       },
     });
   }
 
+  private makeTableFetcher(): TableFetcher {
+    const {timers, logger, random = Math.random} = this.options;
+    return new TableFetcher({
+      self: this.address,
+      timers,
+      logger,
+      random,
+      reachable: () => this.member.membership.reachable(),
+      onRecords: records => this.member.post({type: 'seed', records}),
+    });
+  }
+
   private makePresence(): Presence {
     return new Presence({
       timers: this.options.timers,
@@ -368,9 +387,8 @@
       breaker: this.newBreaker(),
       address: this.address,
       incarnation: this.address.bootId,
-      random: this.options.random,
       keepsObject: true,
-      listAgainMs: LIST_AGAIN_MS,
+      listsFew: true,
       ownRecord: () => this.ownRecord(),
       onLeaving: instances => this.takeLeaving(instances),
       onPeers: records => this.member.post({type: 'seed', records}),
@@ -465,6 +483,7 @@
 
   private tellMembers(): void {
     const {membership} = this.member;
+    this.tableFetcher.noteMembers();
     const watchers = watchersOf(membership.reachable(), WATCHERS_PER_DOMAIN);
     this.watchers = watchers.size;
     const {nodeId} = this.address;
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -5,6 +5,7 @@
 import {ObjectStore} from './object_store';
 import type {
   Creation,
+  ListOptions,
   ReadOptions,
   StoredObject,
   StoreResult,
@@ -53,7 +54,7 @@
 
   override list(
     prefix: string,
-    options?: ReadOptions,
+    options?: ListOptions,
   ): StoreResult<StoredObject[]> {
     return this.spend(() => this.inner.list(prefix, options));
   }
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -2,6 +2,7 @@
 export {ObjectStore} from './object_store';
 export type {
   Creation,
+  ListOptions,
   ReadOptions,
   StoredObject,
   StoreResult,
--- a/packages/object-store/src/object_store.ts
+++ b/packages/object-store/src/object_store.ts
@@ -23,6 +23,14 @@
   readonly stale?: boolean;
 }
 
+/** Which objects of a prefix are listed. */
+export interface ListOptions extends ReadOptions {
+  /** Only names behind this one, in the order of names. */
+  readonly after?: string;
+  /** Only as many as the store gives at once. */
+  readonly onePage?: boolean;
+}
+
 /** Outcome of a call to the store. */
 export type StoreResult<T> = ResultAsync<T, ErrorKind>;
 
@@ -59,7 +67,7 @@
   abstract remove(path: string, condition: WriteCondition): StoreResult<void>;
   abstract list(
     prefix: string,
-    options?: ReadOptions,
+    options?: ListOptions,
   ): StoreResult<StoredObject[]>;
   /** Waits until the object is newer than a version; undefined when the wait ran out. */
   abstract watch(
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -159,6 +159,26 @@
   return parsed.success ? parsed.data : undefined;
 }
 
+/** Writes records one by one, as they do not fit into a datagram together. */
+export function encodeRecords(records: readonly MemberRecord[]): string {
+  return JSON.stringify(records.map(toRecord));
+}
+
+/** Reads records; those that cannot be read are left out. */
+export function decodeRecords(text: string): MemberRecord[] {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return [];
+  }
+  if (!Array.isArray(value)) return [];
+  return value.flatMap(item => {
+    const parsed = recordSchema.safeParse(item);
+    return parsed.success ? [parsed.data] : [];
+  });
+}
+
 function toArray(datagram: Datagram): unknown[] {
   switch (datagram.type) {
     case 'ask':
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,10 @@
 /** Datagrams between nodes: messages of membership, and questions about load. */
-export {decodeDatagram, encodeDatagram} from './datagram_codec';
+export {
+  decodeDatagram,
+  decodeRecords,
+  encodeDatagram,
+  encodeRecords,
+} from './datagram_codec';
 export type {
   Datagram,
   ExchangeDatagram,
