--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -60,9 +60,14 @@
   readonly keepsObject?: boolean;
   /** Only as many others are read as the store lists at once; these know the rest. */
   readonly listsFew?: boolean;
+  readonly random?: () => number;
 }
 
 const RETRY_MS = 200;
+/** Wait before the list is read again, above the time by which it may be behind, milliseconds. */
+const LIST_AGAIN_MS = 3_500;
+/** Share by which that wait is spread. */
+const SPREAD_SHARE = 0.4;
 /** Nodes among which one is found that lives and knows the rest. */
 const ENOUGH_PEERS = 8;
 /** Server processes of one VM that are remembered; more than end within the time that reports can be late. */
@@ -74,6 +79,8 @@
   private timer: Cancel | undefined;
   private closed = false;
   private listed = false;
+  private isAlone = true;
+  private again: Cancel | undefined;
   private leaving: readonly string[] = [];
 
   constructor(private readonly options: PresenceOptions) {}
@@ -119,6 +126,7 @@
   close(): void {
     this.closed = true;
     this.timer?.();
+    this.again?.();
   }
 
   private retryLater(): void {
@@ -205,16 +213,29 @@
       ? this.listNext()
       : store.list(PREFIX, {stale: true}));
     if (found.isErr()) return false;
+    const isFirst = !this.listed;
     this.listed = true;
     const values = found.value.flatMap(
       object => readPresence(object.value) ?? [],
     );
-    onPeers(
-      values.filter(v => v.address.nodeId !== address.nodeId).map(toRecord),
-    );
+    const others = values.filter(v => v.address.nodeId !== address.nodeId);
+    this.isAlone = others.length === 0;
+    onPeers(others.map(toRecord));
+    if (isFirst || this.isAlone) this.listAgainLater();
     return true;
   }
 
+  // Nodes that start together do not find each other in a list that is seconds behind.
+  private listAgainLater(): void {
+    const {timers, listsFew = false, random = Math.random} = this.options;
+    if (!listsFew) return;
+    const delayMs = LIST_AGAIN_MS * (1 + SPREAD_SHARE * random());
+    this.again?.();
+    this.again = timers.after(delayMs, () => {
+      if (!this.closed) void this.list();
+    });
+  }
+
   // Names often tell the domain, so that those that follow the own one are near. The last are followed by the first.
   private async listNext(): Promise<Result<StoredObject[], ErrorKind>> {
     const {store, address} = this.options;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -389,6 +389,7 @@
       incarnation: this.address.bootId,
       keepsObject: true,
       listsFew: true,
+      random: this.options.random,
       ownRecord: () => this.ownRecord(),
       onLeaving: instances => this.takeLeaving(instances),
       onPeers: records => this.member.post({type: 'seed', records}),
