--- a/packages/node/src/member/presence_test.ts
+++ b/packages/node/src/member/presence_test.ts
@@ -21,6 +21,11 @@
   platform = new MemoryPlatform();
 });
 
+/** Promises get their turn after each event, so that there have to be some. */
+async function runUntil(end: number): Promise<void> {
+  for (let at = clock.now; at < end; at += 10) await clock.runUntilSettled(at);
+}
+
 interface Started {
   readonly presence: Presence;
   readonly timers: VirtualTimers;
@@ -52,7 +57,7 @@
 describe('nodes that start at the same instant, with lists seconds behind', () => {
   it.each([2, 9, 75])('%d nodes: all are joined by what they know', async n => {
     const nodes = Array.from({length: n}, (_, i) => start(nameOf(i)));
-    await clock.runUntilSettled(8_000);
+    await runUntil(8_000);
     const known = new Set([nameOf(0)]);
     const open = [nameOf(0)];
     for (let at = open.pop(); at !== undefined; at = open.pop()) {
@@ -67,9 +72,9 @@
 
   it('a node that knows nobody keeps looking', async () => {
     const first = start(nameOf(0));
-    await clock.runUntilSettled(60_000);
+    await runUntil(60_000);
     start(nameOf(1));
-    await clock.runUntilSettled(75_000);
+    await runUntil(75_000);
     expect([...first.peers]).toEqual([nameOf(1)]);
   });
 });
@@ -77,23 +82,23 @@
 describe('an object in the store', () => {
   it('is created with one call, and left as it is by the next process', async () => {
     start(nameOf(0));
-    await clock.runUntilSettled(1_000);
+    await runUntil(1_000);
     const {writes} = platform.counts;
     start(nameOf(0), 2);
-    await clock.runUntilSettled(2_000);
+    await runUntil(2_000);
     expect([writes, platform.counts.writes]).toEqual([1, 2]);
   });
 
   it('tells the next process of leavings, also those written after it was kept', async () => {
     const first = start(nameOf(0));
-    await clock.runUntilSettled(1_000);
+    await runUntil(1_000);
     first.timers.kill();
     const second = start(nameOf(0), 2);
-    await clock.runUntilSettled(2_000);
+    await runUntil(2_000);
     await second.presence.noteLeaving('i-1');
     second.timers.kill();
     const third = start(nameOf(0), 3);
-    await clock.runUntilSettled(4_000);
+    await runUntil(4_000);
     expect(third.leaving).toEqual(['i-1']);
   });
 });
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -485,10 +485,12 @@
   private tellMembers(): void {
     const {membership} = this.member;
     this.tableFetcher.noteMembers();
-    const watchers = watchersOf(membership.reachable(), WATCHERS_PER_DOMAIN);
+    const reachable = membership.reachable();
+    const watchers = watchersOf(reachable, WATCHERS_PER_DOMAIN);
     this.watchers = watchers.size;
-    const {nodeId} = this.address;
-    this.duty.choose(this.options.timers.now(), watchers.has(nodeId));
+    // A node that has not heard of others yet would be the only choice.
+    const chosen = reachable.length > 1 && watchers.has(this.address.nodeId);
+    this.duty.choose(this.options.timers.now(), chosen);
     const records = membership.records();
     const {cutDomains} = membership;
     this.gateway.post({type: 'members', records, cutDomains});
