Test: bytes without end in a status line, a header, a chunk size, a body or trailers

Bounded memory, the exchange ends in time and its connection is closed, in all six places; nothing had to be mended. Found beside it: after an exchange is aborted undici opens a new connection that nobody asked for (not mended).

--- /dev/null
+++ b/packages/node/src/gate/endless_answer_test.ts
@@ -0,0 +1,80 @@
+import {EndlessServer} from '@goldcresthill/test-utils';
+import type {EndlessPart} from '@goldcresthill/test-utils';
+import {describe, expect, it} from 'vitest';
+import type {ExchangeResult} from '../http/exchange';
+import {HttpServerConnections} from './server_connections';
+
+const HOST = '127.0.0.1';
+const DEADLINE_MS = 400;
+/** Time within which a connection that was given up is closed. */
+const CLOSE_MS = 500;
+const MAX_BUFFERED_BYTES = 1_048_576;
+/** Buffers of two sockets and of the parser, and an answer held whole, several times over. */
+const BOUND_BYTES = 32 * 1_048_576;
+
+interface Outcome {
+  readonly result: ExchangeResult;
+  readonly tookMs: number;
+}
+
+/** One exchange that is given up at its deadline, as a gate does. */
+function exchange(connections: HttpServerConnections): Promise<Outcome> {
+  const startedAt = performance.now();
+  return new Promise(done => {
+    const running = connections.exchange(
+      {
+        method: 'GET',
+        path: '/',
+        headers: {},
+        body: Buffer.alloc(0),
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+      },
+      result => done({result, tookMs: performance.now() - startedAt}),
+      () => undefined,
+    );
+    setTimeout(() => running.abort('deadline passed'), DEADLINE_MS);
+  });
+}
+
+describe('a server whose bytes do not end', () => {
+  it.each<EndlessPart>([
+    'statusLine',
+    'headerName',
+    'headers',
+    'chunkSize',
+    'trailers',
+  ])('in the %s: no answer, in time, within bounds, and closed', async part => {
+    const server = new EndlessServer(part);
+    const port = await server.listen();
+    const connections = new HttpServerConnections({host: HOST, port}, 2);
+    const before = process.memoryUsage().rss;
+    const {result, tookMs} = await exchange(connections);
+    const grown = process.memoryUsage().rss - before;
+    expect(result.type).toBe('broke');
+    expect(tookMs).toBeLessThan(2 * DEADLINE_MS);
+    expect(grown).toBeLessThan(BOUND_BYTES);
+    await new Promise(done => setTimeout(done, CLOSE_MS));
+    expect(server.pouring).toBe(0);
+    await connections.close();
+    await server.close();
+  });
+
+  it('in the body: no more is read than the caller takes', async () => {
+    const server = new EndlessServer('chunk');
+    const port = await server.listen();
+    const connections = new HttpServerConnections({host: HOST, port}, 2);
+    const {result} = await exchange(connections);
+    if (result.type !== 'answer' || result.body.type !== 'stream') {
+      throw new Error('expected a streamed answer');
+    }
+    const {stream} = result.body;
+    const broken = new Promise(done => stream.once('error', done));
+    await new Promise(done => setTimeout(done, DEADLINE_MS / 2));
+    expect(server.sentBytes).toBeLessThan(BOUND_BYTES);
+    await broken;
+    await new Promise(done => setTimeout(done, CLOSE_MS));
+    expect(server.pouring).toBe(0);
+    await connections.close();
+    await server.close();
+  });
+});
--- /dev/null
+++ b/packages/test-utils/src/endless_server.ts
@@ -0,0 +1,77 @@
+/** A faulty server whose bytes do not end until the other side closes. */
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+
+/** Where the bytes without end stand. */
+export type EndlessPart =
+  'statusLine' | 'headerName' | 'headers' | 'chunkSize' | 'chunk' | 'trailers';
+
+const HOST = '127.0.0.1';
+const PIECE_BYTES = 16_384;
+const HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const CHUNK = `${PIECE_BYTES.toString(16)}\r\n${'x'.repeat(PIECE_BYTES)}\r\n`;
+
+const STARTS: Record<EndlessPart, string> = {
+  statusLine: 'HTTP/1.1 200 ',
+  headerName: 'HTTP/1.1 200 OK\r\nx-',
+  headers: 'HTTP/1.1 200 OK\r\n',
+  chunkSize: `${HEAD}1;`,
+  chunk: HEAD,
+  trailers: `${HEAD}0\r\n`,
+};
+
+const PIECES: Record<EndlessPart, string> = {
+  statusLine: 'x'.repeat(PIECE_BYTES),
+  headerName: 'x'.repeat(PIECE_BYTES),
+  headers: 'x-filler: yyyyyyyyyyyyyyyy\r\n'.repeat(500),
+  chunkSize: 'x'.repeat(PIECE_BYTES),
+  chunk: CHUNK,
+  trailers: 'x-filler: yyyyyyyyyyyyyyyy\r\n'.repeat(500),
+};
+
+/** Sends as fast as the other side takes, and counts. */
+export class EndlessServer {
+  sentBytes = 0;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly part: EndlessPart) {
+    this.server = createServer(socket => this.serve(socket));
+  }
+
+  /** Starts to listen; answers the port. */
+  async listen(): Promise<number> {
+    await new Promise<void>(done => this.server.listen(0, HOST, done));
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Open connections on which a request has come. */
+  get pouring(): number {
+    return [...this.sockets].filter(socket => socket.bytesRead > 0).length;
+  }
+
+  async close(): Promise<void> {
+    this.sockets.forEach(socket => socket.destroy());
+    await new Promise(done => this.server.close(done));
+  }
+
+  private serve(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.once('data', () => {
+      socket.write(STARTS[this.part]);
+      this.pour(socket);
+    });
+  }
+
+  private pour(socket: Socket): void {
+    const piece = PIECES[this.part];
+    let taken = true;
+    while (taken && !socket.destroyed) {
+      taken = socket.write(piece);
+      this.sentBytes += piece.length;
+    }
+    if (!socket.destroyed) socket.once('drain', () => this.pour(socket));
+  }
+}
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -1,5 +1,7 @@
 /** Stand-ins for what is outside: the platform's service, servers, a lossy network, time. */
 export {MemoryPlatform} from './memory_platform';
+export {EndlessServer} from './endless_server';
+export type {EndlessPart} from './endless_server';
 export {StaleStore} from './stale_store';
 export type {StaleStoreOptions} from './stale_store';
 export {PlatformServer} from './platform_server';
