--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -115,11 +115,12 @@
 
   /** Removes the presence of another node that died, unless it has come back. */
   async removeDead(dead: NodeAddress): Promise<void> {
-    const {store} = this.options;
+    const {store, keepsObject = false} = this.options;
     const found = await store.get(this.path(dead.nodeId));
     if (found.isErr() || found.value === undefined) return;
     const value = readPresence(found.value.value);
-    if (value?.address.bootId !== dead.bootId) return;
+    // An object that was kept may name an earlier process than the one that died.
+    if (!keepsObject && value?.address.bootId !== dead.bootId) return;
     await store.remove(this.path(dead.nodeId), found.value.version);
   }
 
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -1,6 +1,6 @@
 /** A node that finds its peers and its configuration in the store and shares load by datagrams. */
 import type {Logger} from '@goldcresthill/logger';
-import {WatchDuty, watchersOf} from '@goldcresthill/membership';
+import {ownerOf, WatchDuty, watchersOf} from '@goldcresthill/membership';
 import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
 import {BudgetedStore, StoreBreaker} from '@goldcresthill/object-store';
@@ -79,6 +79,8 @@
 const NEWS_AGAIN_MS = 5_000;
 /** Many records change at once; gateways are told of them together, milliseconds. */
 const MEMBERS_DELAY_MS = 50;
+/** Time for which a lost node may come back before its object is removed, milliseconds. */
+const REMOVE_DEAD_MS = 60_000;
 /** Longest wait for the server's first word before this node makes itself known without it, milliseconds. */
 const FIRST_WORD_MS = 700;
 
@@ -362,6 +364,7 @@
           // Nodes that are in order are counted, not listed.
           if (status === 'alive') return;
           logger.info('member', {member, status, reason});
+          if (status === 'dead') this.removeLater(member);
         },
         onFault: err => this.onFault(err),
       },
@@ -467,6 +470,20 @@
     return {version: 0, servers: [server]};
   }
 
+  // One node removes what the store holds of a lost one, once it is not expected back.
+  private removeLater(member: string): void {
+    const {timers, logger} = this.options;
+    timers.after(REMOVE_DEAD_MS, () => {
+      const {membership} = this.member;
+      const record = membership.get(member);
+      const owner = ownerOf(`remove|${member}`, membership.reachable());
+      if (this.leaving || record?.status !== 'dead') return;
+      if (owner !== this.address.nodeId) return;
+      logger.info('nodeForgotten', {member});
+      void this.presence.removeDead(record.address);
+    });
+  }
+
   private onServers(servers: readonly ServerRecord[]): void {
     const summary = servers.map(s => `${s.service}:${s.instance}:${s.state}`);
     this.options.logger.info('servers', {servers: summary});
