--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -34,6 +34,11 @@
 export type {AnswerVerdict, ServerLoad} from './gate/server_interface';
 export type {ExchangeRequest, ExchangeResult} from './http/exchange';
 export {ControlPlane} from './control_plane';
+export {SidecarControl} from './sidecar/sidecar_control';
+export type {
+  SidecarControlEvents,
+  SidecarControlOptions,
+} from './sidecar/sidecar_control';
 export type {ControlEvents, ControlPlaneOptions} from './control_plane';
 export {PeerLinks} from './member/peer_links';
 export type {ConfigDelta} from './member/peer_links';
--- a/packages/node/src/peers/table_fetcher.ts
+++ b/packages/node/src/peers/table_fetcher.ts
@@ -4,7 +4,6 @@
 import type {Logger} from '@goldcresthill/logger';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {NodeAddress} from '@goldcresthill/types';
-import {fetchMembers} from '../gateway/gate_client';
 
 /** What a fetcher starts from. */
 export interface TableFetcherOptions {
@@ -14,6 +13,8 @@
   readonly random: () => number;
   /** Nodes that are thought to be alive. */
   readonly reachable: () => readonly NodeAddress[];
+  /** Reads the table of a node; undefined if it cannot be had. */
+  readonly fetch: (from: NodeAddress) => Promise<string | undefined>;
   readonly onRecords: (records: readonly MemberRecord[]) => void;
 }
 
@@ -53,11 +54,11 @@
   }
 
   private async fetch(): Promise<void> {
-    const {timers, logger, onRecords} = this.options;
+    const {timers, logger, fetch, onRecords} = this.options;
     for (let i = 0; i < MAX_TRIES && !this.closed; i++) {
       const from = this.draw();
       if (from === undefined) return;
-      const text = await fetchMembers(from);
+      const text = await fetch(from);
       if (this.closed) return;
       if (text !== undefined) {
         const records = decodeRecords(text);
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -1,9 +1,7 @@
 /** A node that finds its peers and its configuration in the store and shares load by datagrams. */
 import type {Logger} from '@goldcresthill/logger';
-import {ownerOf, WatchDuty, watchersOf} from '@goldcresthill/membership';
-import type {MemberNews, MemberRecord} from '@goldcresthill/membership';
 import type {Metrics} from '@goldcresthill/metrics';
-import {BudgetedStore, StoreBreaker} from '@goldcresthill/object-store';
+import {BudgetedStore} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import {TokenBucket} from '@goldcresthill/budgets';
 import type {NodeSettings} from '@goldcresthill/settings';
@@ -11,7 +9,6 @@
 import {InvariantError} from '@goldcresthill/types';
 import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
-import {ConfigFollower} from '../config/config_follower';
 import {DataListener} from '../gate/data_listener';
 import {GateTask} from '../gate/gate_task';
 import type {Announcement} from '../gate/messages';
@@ -20,15 +17,12 @@
 import type {CallerInterface} from '../gateway/caller_interface';
 import {CrashNews} from '../gateway/crash_news';
 import {DecisionLog} from '../gateway/decision_log';
+import {fetchMembers} from '../gateway/gate_client';
 import {GatewayTask} from '../gateway/gateway_task';
 import {BodyBudget} from '../http/body';
-import {Presence} from '../member/presence';
-import {encodeRecords} from '@goldcresthill/peers';
 import {DatagramLinks} from '../peers/datagram_links';
-import {TableFetcher} from '../peers/table_fetcher';
-import {NewsBoard} from '../peers/news_board';
-import {MemberTask} from '../member/member_task';
 import type {SidecarConfig} from './sidecar_config';
+import {SidecarControl} from './sidecar_control';
 
 /** What a node starts from. */
 export interface SidecarNodeOptions {
@@ -67,26 +61,9 @@
 const RECALL_MS = 700;
 const MILLIS_PER_SECOND = 1_000;
 const BOOT_FRACTION = 1_000;
-/** Nodes of each failure domain that wait for changes of the configuration. */
-const WATCHERS_PER_DOMAIN = 2;
-/** A node watches by itself when it has not heard of a watcher for this share of the time that a change may take. */
-const PATIENCE_SHARE = 0.6;
-/** Interval between messages to other nodes, milliseconds. */
-const ROUND_MS = 500;
-/** Largest message to another node, which fits into one packet, bytes. */
-const MESSAGE_BYTES = 1_200;
-/** Interval at which news of crashing requests is told again, milliseconds. */
-const NEWS_AGAIN_MS = 5_000;
-/** Many records change at once; gateways are told of them together, milliseconds. */
-const MEMBERS_DELAY_MS = 50;
-/** Time for which a lost node may come back before its object is removed, milliseconds. */
-const REMOVE_DEAD_MS = 60_000;
 /** Longest wait for the server's first word before this node makes itself known without it, milliseconds. */
 const FIRST_WORD_MS = 700;
 
-/** Longest wait before the store is tried again, milliseconds; lapsed entries are due back within two seconds. */
-const MAX_STORE_WAIT_MS = 1_000;
-
 /** One process on one VM. */
 export class SidecarNode {
   private readonly address: NodeAddress;
@@ -94,20 +71,12 @@
   private readonly gateway: GatewayTask;
   private readonly data: DataListener;
   private readonly links: DatagramLinks;
-  private readonly member: MemberTask;
-  private readonly duty: WatchDuty;
-  private readonly tableFetcher: TableFetcher;
-  private readonly news = new NewsBoard();
-  private readonly presence: Presence;
-  private readonly config: ConfigFollower<SidecarConfig>;
+  private readonly control: SidecarControl<SidecarConfig>;
   private readonly store: BudgetedStore;
   private readonly budget: BodyBudget;
   private readonly crashNews: CrashNews;
   private leaving = false;
-  private membersPending = false;
-  private watchers = 1;
   private broken = 0;
-  private cancelNews: () => void = () => undefined;
   private hearServer: () => void = () => undefined;
   /** Resolves with the first word of the server of this VM. */
   private readonly serverHeard = new Promise<void>(done => {
@@ -128,19 +97,13 @@
       timers: options.timers,
       logger: options.logger,
       quarantine: () => this.gateway.quarantine,
-      spread: news => this.spread(news),
+      spread: news => this.control.spread(news),
     });
     this.gate = this.makeGate();
     this.gateway = this.makeGateway();
     this.data = this.makeData();
-    this.duty = new WatchDuty(options.timers.now(), {
-      patienceMs: options.configApplyMs * PATIENCE_SHARE,
-    });
     this.links = this.makeLinks();
-    this.member = this.makeMember();
-    this.tableFetcher = this.makeTableFetcher();
-    this.presence = this.makePresence();
-    this.config = this.makeConfig();
+    this.control = this.makeControl();
   }
 
   /** Listens, tells the fleet and follows the configuration. */
@@ -150,12 +113,8 @@
       this.data.listen(),
       this.links.listen(),
     ]);
-    this.tellMembers();
-    void this.config.start();
+    this.control.start();
     void this.makeKnown();
-    this.cancelNews = this.options.timers.every(NEWS_AGAIN_MS, () =>
-      this.repeatNews(),
-    );
     const {nodeId, bootId, domain} = this.address;
     this.options.logger.info('started', {nodeId, bootId, domain});
   }
@@ -172,7 +131,7 @@
       this.gate.post({type: 'announce', announcement});
       this.tellLeaving();
       await Promise.race([
-        this.presence.noteLeaving(announcement.instance),
+        this.control.noteLeaving(announcement.instance),
         timers.pause(PERSIST_MS),
       ]);
       return;
@@ -183,11 +142,11 @@
   }
 
   get configVersion(): number {
-    return this.config.version;
+    return this.control.configVersion;
   }
 
   get peerCount(): number {
-    return this.member.membership.reachable().length - 1;
+    return this.control.reachable().length - 1;
   }
 
   get storeCalls(): {made: number; failed: number} {
@@ -200,7 +159,7 @@
 
   /** Whether callers may send to this node. */
   get isReady(): boolean {
-    return !this.leaving && this.config.current !== undefined;
+    return !this.leaving && this.control.currentConfig !== undefined;
   }
 
   /**
@@ -216,7 +175,7 @@
     const graceMs = settings.node.grace_seconds * MILLIS_PER_SECOND;
     this.gateway.beginClosing();
     this.gate.post({type: 'drain'});
-    this.member.post({type: 'leave'});
+    this.control.leave();
     const endAt = startedAt + graceMs - CLOSING_MS;
     await timers.pause(Math.min(LAME_DUCK_MS, graceMs - CLOSING_MS));
     this.gateway.stopAccepting();
@@ -229,12 +188,8 @@
   }
 
   async close(): Promise<void> {
-    this.cancelNews();
-    this.tableFetcher.close();
-    this.config.close();
-    this.presence.close();
     await Promise.all([
-      this.member.close(),
+      this.control.close(),
       this.gateway.close(),
       this.data.close(),
       this.gate.close(),
@@ -323,8 +278,8 @@
       gate: this.gate,
       budget: this.budget,
       askKey: token => this.gateway.askKey(token),
-      configText: () => this.config.text,
-      membersText: () => encodeRecords(this.member.membership.records()),
+      configText: () => this.control.configText,
+      membersText: () => this.control.tableText,
     });
   }
 
@@ -333,103 +288,39 @@
     return new DatagramLinks({
       address: this.address,
       timers,
-      watchedMs: () => this.duty.age(timers.now()),
+      watchedMs: () => this.control.watchedMs,
       events: {
-        onExchange: message => this.member.receive(message),
+        onExchange: message => this.control.receive(message),
         onAsk: (service, reply) => this.gate.freshReport(service, reply),
-        onWatched: ageMs => this.duty.hear(timers.now(), ageMs),
+        onWatched: ageMs => this.control.hearWatched(ageMs),
         onFault: err => this.onFault(err),
       },
     });
   }
 
-  private makeMember(): MemberTask {
-    const {timers, settings, logger, random = Math.random} = this.options;
-    return new MemberTask({
+  private makeControl(): SidecarControl<SidecarConfig> {
+    const {settings, random = Math.random} = this.options;
+    return new SidecarControl<SidecarConfig>({
+      ...this.options,
       address: this.address,
-      incarnation: this.address.bootId,
-      roundMs: ROUND_MS,
-      bytesPerSecond: settings.membership.bytes_per_second,
-      messageBytes: MESSAGE_BYTES,
       random,
-      timers,
+      store: this.store,
       links: this.links,
+      fetchTable: fetchMembers,
+      bytesPerSecond: settings.membership.bytes_per_second,
+      versionOf: config => config.version,
+      expectedServer: () => this.expectedServer(),
       events: {
-        onMembers: () => this.tellMembersLater(),
-        onNews: news => this.spread(news),
+        onMembers: (records, cutDomains) =>
+          this.gateway.post({type: 'members', records, cutDomains}),
+        onConfig: (config, source) => this.onConfig(config, source),
+        onNews: news => this.gateway.post({type: 'news', news}),
         onLeaving: instances => this.takeLeaving(instances),
-        heldRevision: () => this.config.version,
-        onDelta: ({delta}) => this.config.offer(delta, 'peer'),
-        onStatus: (member, status, reason) => {
-          // Nodes that are in order are counted, not listed.
-          if (status === 'alive') return;
-          logger.info('member', {member, status, reason});
-          if (status === 'dead') this.removeLater(member);
-        },
         onFault: err => this.onFault(err),
       },
     });
   }
 
-  private makeTableFetcher(): TableFetcher {
-    const {timers, logger, random = Math.random} = this.options;
-    return new TableFetcher({
-      self: this.address,
-      timers,
-      logger,
-      random,
-      reachable: () => this.member.membership.reachable(),
-      onRecords: records => this.member.post({type: 'seed', records}),
-    });
-  }
-
-  private makePresence(): Presence {
-    return new Presence({
-      timers: this.options.timers,
-      store: this.store,
-      breaker: this.newBreaker(),
-      address: this.address,
-      incarnation: this.address.bootId,
-      keepsObject: true,
-      listsFew: true,
-      random: this.options.random,
-      ownRecord: () => this.ownRecord(),
-      onLeaving: instances => this.takeLeaving(instances),
-      onPeers: records => this.member.post({type: 'seed', records}),
-    });
-  }
-
-  private makeConfig(): ConfigFollower<SidecarConfig> {
-    const {timers, logger, configPath, decodeConfig} = this.options;
-    return new ConfigFollower<SidecarConfig>({
-      timers,
-      store: this.store,
-      breaker: this.newBreaker(),
-      path: configPath,
-      decode: decodeConfig,
-      versionOf: config => config.version,
-      isWatcher: () => this.duty.isDue(timers.now()),
-      watchers: () => this.watchers,
-      onConfig: (config, source) => this.onConfig(config, source),
-      onStore: reachable =>
-        logger.warn(reachable ? 'storeRegained' : 'storeLost', {
-          configVersion: this.config.version,
-        }),
-      onInvalid: reason =>
-        logger.warn('configInvalid', {
-          reason,
-          versionInForce: this.config.version,
-        }),
-    });
-  }
-
-  private newBreaker(): StoreBreaker {
-    return new StoreBreaker({
-      random: this.options.random ?? Math.random,
-      maxWaitMs: MAX_STORE_WAIT_MS,
-    });
-  }
-
   private onConfig(config: SidecarConfig, source: string): void {
     const {version, routes, rules} = config;
     this.options.logger.info('configuration', {
@@ -440,7 +331,6 @@
     this.options.onConfig(config);
     this.gateway.post({type: 'configure', rules});
     this.gate.post({type: 'configure', rules});
-    this.member.post({type: 'configRevision', revision: version});
   }
 
   private takeLeaving(instances: readonly string[]): void {
@@ -450,79 +340,26 @@
   }
 
   private tellLeaving(): void {
-    const leaving = this.gate.leavingServers;
-    if (leaving.length > 0) this.member.post({type: 'leaving', leaving});
+    this.control.setLeaving(this.gate.leavingServers);
   }
 
   // Once, with the server if it speaks soon, so that others need no message about it.
   private async makeKnown(): Promise<void> {
     const {timers} = this.options;
     await Promise.race([this.serverHeard, timers.pause(FIRST_WORD_MS)]);
-    await this.presence.start();
+    await this.control.makeKnown();
   }
 
-  private ownRecord(): Pick<MemberRecord, 'version' | 'servers'> {
-    const {servers, version} = this.member.membership.ownRecord;
-    if (servers.length > 0) return {version, servers};
+  private expectedServer(): ServerRecord {
     const {service} = this.options;
     const {slots = 1, instance = '', port = 0} = this.announced ?? {};
-    const server = {service, port, slots, instance, state: 'up' as const};
-    return {version: 0, servers: [server]};
-  }
-
-  // One node removes what the store holds of a lost one, once it is not expected back.
-  private removeLater(member: string): void {
-    const {timers, logger} = this.options;
-    timers.after(REMOVE_DEAD_MS, () => {
-      const {membership} = this.member;
-      const record = membership.get(member);
-      const owner = ownerOf(`remove|${member}`, membership.reachable());
-      if (this.leaving || record?.status !== 'dead') return;
-      if (owner !== this.address.nodeId) return;
-      logger.info('nodeForgotten', {member});
-      void this.presence.removeDead(record.address);
-    });
+    return {service, port, slots, instance, state: 'up'};
   }
 
   private onServers(servers: readonly ServerRecord[]): void {
     const summary = servers.map(s => `${s.service}:${s.instance}:${s.state}`);
     this.options.logger.info('servers', {servers: summary});
-    this.member.post({type: 'servers', servers});
-  }
-
-  private tellMembersLater(): void {
-    if (this.membersPending) return;
-    this.membersPending = true;
-    this.options.timers.after(MEMBERS_DELAY_MS, () => {
-      this.membersPending = false;
-      this.tellMembers();
-    });
-  }
-
-  private tellMembers(): void {
-    const {membership} = this.member;
-    this.tableFetcher.noteMembers();
-    const reachable = membership.reachable();
-    const watchers = watchersOf(reachable, WATCHERS_PER_DOMAIN);
-    this.watchers = watchers.size;
-    // A node that has not heard of others yet would be the only choice.
-    const chosen = reachable.length > 1 && watchers.has(this.address.nodeId);
-    this.duty.choose(this.options.timers.now(), chosen);
-    const records = membership.records();
-    const {cutDomains} = membership;
-    this.gateway.post({type: 'members', records, cutDomains});
-  }
-
-  // News that is new here is passed on.
-  private spread(news: MemberNews): void {
-    if (!this.news.post(this.options.timers.now(), news)) return;
-    this.gateway.post({type: 'news', news});
-    this.member.post({type: 'spread', news});
-  }
-
-  private repeatNews(): void {
-    const news = this.news.current(this.options.timers.now());
-    if (news.length > 0) this.member.post({type: 'repeat', news});
+    this.control.setServers(servers);
   }
 
   private onFault(err: unknown): void {
