--- a/packages/routing/src/consultation.ts
+++ b/packages/routing/src/consultation.ts
@@ -35,6 +35,8 @@
 const FRESH_MS = 15;
 /** Longest wait for answers, milliseconds; nodes answer within one, unless they are short of processor time. */
 const WAIT_MS = 8;
+/** Wait for the first answer when nobody has answered, as while many nodes start; a blind choice may hang for longer, milliseconds. */
+const LAST_WAIT_MS = 60;
 /** A server is taken at once below this share of its limit and this slowdown. */
 const EASY_SHARE = 0.6;
 const EASY_SLOWDOWN = 1.15;
@@ -53,6 +55,7 @@
   private readonly asked = new Set<ServerView>();
   private readonly waiting = new Set<ServerView>();
   private round = 0;
+  private waitedLonger = false;
 
   constructor(private readonly options: ConsultationOptions) {}
 
@@ -64,16 +67,26 @@
   /** A server has answered, or cannot. */
   told(now: Millis, view: ServerView): ConsultationCommand | undefined {
     if (!this.waiting.delete(view)) return undefined;
-    if (isEasy(now, view)) return this.choose();
+    if (this.waitedLonger || isEasy(now, view)) return this.choose();
     return this.waiting.size === 0 ? this.conclude(now) : undefined;
   }
 
   /** The wait is over; those who have not answered are not in order if others have. */
   timeout(now: Millis): ConsultationCommand {
-    const answered = this.asked.size > this.waiting.size;
-    if (answered) for (const view of this.waiting) view.noteSilent(now);
-    this.waiting.clear();
-    return this.conclude(now);
+    if (this.hasAnswer) {
+      for (const view of this.waiting) view.noteSilent(now);
+      this.waiting.clear();
+      return this.conclude(now);
+    }
+    // Late answers count, as the own VM may be the slow one.
+    const next = this.askNext(now);
+    if (next.type === 'ask' || this.waitedLonger) return next;
+    this.waitedLonger = true;
+    return {type: 'ask', views: [], waitMs: LAST_WAIT_MS};
+  }
+
+  private get hasAnswer(): boolean {
+    return this.asked.size > this.waiting.size;
   }
 
   private conclude(now: Millis): ConsultationCommand {
@@ -84,7 +97,7 @@
   // Where the own domain has too few servers for a round, others fill it up.
   private askNext(now: Millis): ConsultationCommand {
     const breadth = BREADTHS[this.round];
-    if (breadth === undefined) return this.choose();
+    if (breadth === undefined) return {type: 'choose'};
     const {candidates, domain, owner} = this.options;
     const left = candidates.filter(view => !this.asked.has(view));
     const near = left.filter(view => view.domain === domain);
--- a/packages/routing/src/consultation_test.ts
+++ b/packages/routing/src/consultation_test.ts
@@ -108,6 +108,19 @@
     expect(views.some(view => view.isSetAside(9))).toBe(false);
   });
 
+  it('waits longer for a first answer when nobody has answered, and takes it', () => {
+    const consultation = consult([...near, ...far]);
+    const rounds = [consultation.begin(0)];
+    for (let now = 8; now <= 24; now += 8)
+      rounds.push(consultation.timeout(now));
+    expect(rounds.map(command => asked(command).length)).toEqual([2, 4, 5, 0]);
+    expect(rounds.at(-1)).toMatchObject({type: 'ask', waitMs: 60});
+    const [first] = rounds;
+    const view = first?.type === 'ask' ? first.views[0] : undefined;
+    view?.learn(40, reportOf({inFlight: 9}));
+    expect(view && consultation.told(40, view)).toEqual({type: 'choose'});
+  });
+
   it('asks nobody where it knows enough', () => {
     const consultation = consult(near);
     for (const view of near) view.learn(100, reportOf(), 0);
