A list that could not be read again is read later

Cause: the second reading of the list was given up when the store was away at that moment, so that a node that knew nobody stayed alone. The test failed first.

--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -233,10 +233,15 @@
     const delayMs = LIST_AGAIN_MS * (1 + SPREAD_SHARE * random());
     this.again?.();
     this.again = timers.after(delayMs, () => {
-      if (!this.closed) void this.list();
+      void this.listAgain();
     });
   }
 
+  private async listAgain(): Promise<void> {
+    if (this.closed || (await this.list())) return;
+    this.listAgainLater();
+  }
+
   // Names often tell the domain, so that those that follow the own one are near. The last are followed by the first.
   private async listNext(): Promise<Result<StoredObject[], ErrorKind>> {
     const {store, address} = this.options;
--- a/packages/node/src/member/presence_test.ts
+++ b/packages/node/src/member/presence_test.ts
@@ -33,11 +33,21 @@
   readonly leaving: string[];
 }
 
-function start(nodeId: string, bootId = 1): Started {
+function start(
+  nodeId: string,
+  bootId = 1,
+  isUp: () => boolean = () => true,
+): Started {
   const timers = new VirtualTimers(clock);
   const peers = new Set<string>();
   const leaving: string[] = [];
-  const store = new StaleStore({clock, platform, lagMs: LAG_MS, page: PAGE});
+  const store = new StaleStore({
+    clock,
+    platform,
+    lagMs: LAG_MS,
+    page: PAGE,
+    isUp,
+  });
   const ports = {dataPort: 1, controlPort: 2};
   const presence = new Presence({
     timers,
@@ -79,6 +89,20 @@
   });
 });
 
+describe('a store that is away when the list is to be read again', () => {
+  it('is asked again later', async () => {
+    let isUp = true;
+    const first = start(nameOf(0), 1, () => isUp);
+    await runUntil(1_000);
+    isUp = false;
+    await runUntil(20_000);
+    isUp = true;
+    start(nameOf(1));
+    await runUntil(40_000);
+    expect([...first.peers]).toEqual([nameOf(1)]);
+  });
+});
+
 describe('an object in the store', () => {
   it('is created with one call, and left as it is by the next process', async () => {
     start(nameOf(0));
