--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,7 +3,13 @@
 export type {MemberCommand, MembershipOptions} from './membership_types';
 export {messageBytes, recordBytes} from './exchange_message';
 export type {ExchangeMessage, MemberNews} from './exchange_message';
-export {compareRecords, isGone, isNewer, recordHash} from './member_record';
+export {
+  compareRecords,
+  isGone,
+  isNewer,
+  mergeLeavings,
+  recordHash,
+} from './member_record';
 export type {MemberRecord, MemberStatus} from './member_record';
 export {MemberTable, BUCKETS} from './member_table';
 export {DomainContacts} from './domain_contacts';
--- a/packages/membership/src/member_record.ts
+++ b/packages/membership/src/member_record.ts
@@ -17,7 +17,7 @@
   readonly leaving?: readonly string[];
 }
 
-/** Server processes of one VM that are remembered as leaving. */
+/** Server processes of one VM that are remembered as leaving; more than end within the time that reports can be late. */
 const MAX_LEAVING = 8;
 
 const RANK: Record<MemberStatus, number> = {
@@ -43,15 +43,22 @@
   return b === undefined || compareRecords(a, b) > 0;
 }
 
+/** Leavings known before and those that are newer, of which the newest are kept. */
+export function mergeLeavings(
+  known: readonly string[],
+  newer: readonly string[],
+): readonly string[] {
+  const older = known.filter(instance => !newer.includes(instance));
+  return [...older, ...newer].slice(-MAX_LEAVING);
+}
+
 /** A record with the leavings of another of the same node, which stay known beyond the process that took them. */
 export function withLeavings(
   record: MemberRecord,
-  other: MemberRecord | undefined,
+  {leaving = []}: Pick<MemberRecord, 'leaving'> = {},
 ): MemberRecord {
-  const own = record.leaving ?? [];
-  const more = (other?.leaving ?? []).filter(i => !own.includes(i));
-  if (more.length === 0) return record;
-  return {...record, leaving: [...more, ...own].slice(-MAX_LEAVING)};
+  if (leaving.length === 0) return record;
+  return {...record, leaving: mergeLeavings(leaving, record.leaving ?? [])};
 }
 
 /** Whether a record only says that a node is no more. */
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -1,5 +1,6 @@
 /** The presence object of this node, and the list of those of others. */
 import {isDeepStrictEqual} from 'node:util';
+import {mergeLeavings} from '@goldcresthill/membership';
 import type {MemberRecord} from '@goldcresthill/membership';
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {
@@ -70,8 +71,6 @@
 const SPREAD_SHARE = 0.4;
 /** Nodes among which one is found that lives and knows the rest. */
 const ENOUGH_PEERS = 8;
-/** Server processes of one VM that are remembered; more than end within the time that reports can be late. */
-const MAX_LEAVING = 8;
 
 /** Writes presence once, reads the others once, and removes its own at the end. */
 export class Presence {
@@ -96,7 +95,7 @@
   /** Writes that a server process leaves; false if that could not be written now. */
   async noteLeaving(instance: string): Promise<boolean> {
     if (this.leaving.includes(instance)) return true;
-    this.leaving = [...this.leaving, instance].slice(-MAX_LEAVING);
+    this.leaving = mergeLeavings(this.leaving, [instance]);
     const written = await this.replace();
     // It is owed: a process that starts after this one has to find it.
     if (!written) this.retryLater();
@@ -169,8 +168,9 @@
     const {address, keepsObject = false} = this.options;
     const version = found?.version ?? 0;
     const previous = readPresence(found?.value ?? '');
-    this.takeLeavings(previous?.leaving ?? []);
     const told = previous?.leaving ?? [];
+    this.leaving = mergeLeavings(told, this.leaving);
+    this.options.onLeaving?.(this.leaving);
     const isTold = this.leaving.every(instance => told.includes(instance));
     if (keepsObject && isTold && isSamePlace(previous?.address, address)) {
       this.version = version;
@@ -180,9 +180,8 @@
   }
 
   private async replace(): Promise<boolean> {
-    if (this.version === undefined) return this.readAgain();
-    const put = await this.put(this.version);
-    if (put.isOk()) return true;
+    const {version} = this;
+    if (version !== undefined && (await this.put(version)).isOk()) return true;
     this.version = undefined;
     return this.readAgain();
   }
@@ -201,13 +200,6 @@
     return JSON.stringify({address, incarnation, ...ownRecord?.(), leaving});
   }
 
-  private takeLeavings(previous: readonly string[]): void {
-    const {leaving} = this;
-    const more = previous.filter(i => !leaving.includes(i));
-    this.leaving = [...more, ...leaving].slice(-MAX_LEAVING);
-    this.options.onLeaving?.(this.leaving);
-  }
-
   private async list(): Promise<boolean> {
     const {store, onPeers, address, listsFew = false} = this.options;
     const found = await (listsFew
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -1,4 +1,4 @@
-/** A node that finds its peers and its configuration in the store and shares load by datagrams. */
+/** A node that finds its peers and its configuration in the store and talks to other nodes by datagrams. */
 import type {Logger} from '@goldcresthill/logger';
 import type {Metrics} from '@goldcresthill/metrics';
 import {BudgetedStore} from '@goldcresthill/object-store';
--- a/packages/routing/src/consultation.ts
+++ b/packages/routing/src/consultation.ts
@@ -47,9 +47,9 @@
 export const KNOWN_MS = 50;
 
 /**
- * First the own failure domain is asked. If none of its servers has room at
- * its usual speed, as many are asked in the others: bytes between domains are
- * dear, and a call that waits is dearer.
+ * The first rounds ask in the own failure domain. If none of these servers has
+ * room at its usual speed, the last round asks in all of them: bytes between
+ * domains are dear, and a call that waits is dearer.
  */
 export class Consultation {
   private readonly asked = new Set<ServerView>();
@@ -97,6 +97,7 @@
   // Where the own domain has too few servers for a round, others fill it up.
   private askNext(now: Millis): ConsultationCommand {
     const breadth = BREADTHS[this.round];
+    // Those that are still waited for stay so, as their late answers may be waited for.
     if (breadth === undefined) return {type: 'choose'};
     const {candidates, domain, owner} = this.options;
     const left = candidates.filter(view => !this.asked.has(view));
