--- a/packages/test-utils/src/free_ports_test.ts
+++ b/packages/test-utils/src/free_ports_test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {freePorts} from './free_ports';
+import {claimPortBlock, freePorts} from './free_ports';
 
 /** First port that Linux uses for outgoing connections. */
 const FIRST_EPHEMERAL_PORT = 32_768;
@@ -14,4 +14,13 @@
     const ports = [...(await freePorts(20)), ...(await freePorts(20))];
     expect(new Set(ports).size).toBe(40);
   });
+
+  it('gives two processes that prefer the same block different ports', async () => {
+    const first = await claimPortBlock(3);
+    const second = await claimPortBlock(3);
+    const ports = [first, second].map(block => block.next());
+    first.close();
+    second.close();
+    expect(new Set(ports).size).toBe(2);
+  });
 });
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -29,32 +29,50 @@
 }
 
 function runTests() {
-  const report = join(mkdtempSync(join(tmpdir(), 'tests-')), 'report.json');
-  const args = ['vitest', 'run', '--reporter=default', '--reporter=json'];
-  const {status} = spawnSync('npx', [...args, `--outputFile=${report}`], {
+  const dir = mkdtempSync(join(tmpdir(), 'tests-'));
+  const report = join(dir, 'report.json');
+  const errorsFile = join(dir, 'errors.json');
+  const args = [
+    'vitest',
+    'run',
+    '--reporter=default',
+    '--reporter=json',
+    '--reporter=./scripts/outside_errors_reporter.mjs',
+    `--outputFile=${report}`,
+  ];
+  const {status} = spawnSync('npx', args, {
     stdio: 'inherit',
+    env: {...process.env, OUTSIDE_ERRORS_FILE: errorsFile},
   });
-  let results;
   try {
-    results = JSON.parse(readFileSync(report, 'utf8'));
-  } catch {
+    const results = JSON.parse(readFileSync(report, 'utf8'));
+    const outsideErrors = JSON.parse(readFileSync(errorsFile, 'utf8'));
+    return judge(results, status, outsideErrors);
+  } catch (err) {
+    console.log(`no complete report of the tests: ${err}`);
     return {passed: 0, failed: 1, skipped: 0};
   }
-  return judge(results, status);
 }
 
-function judge(results, status) {
+function judge(results, status, outsideErrors) {
   const knownRed = readKnownRed();
   const tests = results.testResults.flatMap(file => file.assertionResults);
   const failed = tests.filter(test => test.status === 'failed');
   const known = failed.filter(test => knownRed.includes(test.fullName));
   known.forEach(test => console.log(`known red: ${test.fullName}`));
+  outsideErrors.forEach(text => console.log(`error outside tests: ${text}`));
   const passed = tests.filter(test => test.status === 'passed').length;
   const brokenFiles = results.testResults.filter(
     file => file.status === 'failed' && file.assertionResults.length === 0,
   ).length;
-  let unexpected = failed.length - known.length + brokenFiles;
-  // An error outside any test fails the run even if all tests passed.
+  // A lost worker leaves tests without a result.
+  const unfinished = tests.length - passed - failed.length;
+  let unexpected =
+    failed.length -
+    known.length +
+    brokenFiles +
+    unfinished +
+    outsideErrors.length;
   if (status !== 0 && failed.length === 0 && unexpected === 0) unexpected = 1;
   return {passed, failed: unexpected, skipped: known.length};
 }
