Gates tell whether they would admit a call, so that what no gate admits is refused at once

Cause: under overload a refusal cost up to 11 load queries and two exchanges with gates, each repeated when the client came back; the report did not show what the gate would decide. Change: the load query carries priority, route, remaining times and whether the caller was refused before; the gate answers whether it would admit the call now (Gate.accepts, the same function as its decision: property test). A gateway chooses only among gates that would, and refuses when none of those asked would. A fourth round of 14 keeps large services from being refused after a small sample.

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -28,7 +28,12 @@
 export type CallEvent =
   | {readonly type: 'begin'}
   | {readonly type: 'sent'; readonly attempt: number; readonly server: string}
-  | {readonly type: 'noServer'; readonly attempt: number}
+  | {
+      readonly type: 'noServer';
+      readonly attempt: number;
+      /** Why no server can be used, if servers are known. */
+      readonly kind?: ErrorKind;
+    }
   | {
       readonly type: 'refused';
       readonly attempt: number;
@@ -161,6 +166,7 @@
       case 'sent':
         return this.onSent(event.attempt, event.server);
       case 'noServer':
+        if (event.kind !== undefined) this.lastRefusal = event.kind;
         return this.onNotRun(event.attempt, 'noServer');
       case 'refused':
         return this.onNotRun(event.attempt, event.kind);
--- a/packages/attempts/src/call_plan_test.ts
+++ b/packages/attempts/src/call_plan_test.ts
@@ -54,6 +54,16 @@
     `);
   });
 
+  it('fails at once when a load query shows that no server would admit the call', () => {
+    const events: CallEvent[] = [
+      {type: 'begin'},
+      {type: 'noServer', attempt: 0, kind: 'queueFull'},
+    ];
+    expect(handleEvents(plan(), events)[1]).toEqual([
+      {type: 'fail', kind: 'queueFull', runState: 'notRun'},
+    ]);
+  });
+
   it('resolves a broken attempt with the gate before it sends the call to another server', () => {
     const events: CallEvent[] = [
       {type: 'begin'},
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -64,6 +64,8 @@
   | {readonly type: 'drained'};
 
 const PERCENT = 100;
+/** Reference of a request that no queue contains. */
+const UNREGISTERED_REF = -1;
 /** Fraction of the remaining time that a request may wait at one gate. */
 const MAX_WAIT_FRACTION = 0.3;
 /** A queued request is rerouted only if it would miss its objective even without a margin on its service time. */
@@ -110,26 +112,26 @@
   /** Decides whether an arriving request starts, is queued or is refused. */
   admit(now: Millis, request: GateRequest): Admission {
     const req = {...request, arrivedAt: now};
-    const kind = this.refusalKind(now, req);
-    if (kind !== undefined) return {type: 'refuse', kind};
     const mustWait = this.mustWait(now, req);
-    if ((mustWait || this.forecast.isSlow) && this.missesObjective(now, req)) {
-      return {type: 'refuse', kind: 'queueFull'};
-    }
+    const kind = this.refusalKind(now, req, mustWait);
+    if (kind !== undefined) return {type: 'refuse', kind};
     if (!mustWait) {
       this.start(now, req);
       return {type: 'start'};
     }
     const evicted = this.evictFor(req);
-    if (this.queue.size >= this.queueCapacity) {
-      return {type: 'refuse', kind: 'queueFull'};
-    }
     this.queue.add({...req, refuseAt: now + this.maxWaitMs(now, req)});
     if (req.suspect) this.suspectCount++;
     this.assertBounds();
     return {type: 'queued', evicted};
   }
 
+  /** Whether a request that arrives now would be admitted. */
+  accepts(now: Millis, request: Omit<GateRequest, 'ref'>): boolean {
+    const req = {...request, ref: UNREGISTERED_REF, arrivedAt: now};
+    return this.refusalKind(now, req, this.mustWait(now, req)) === undefined;
+  }
+
   /** Releases the slot of a request that has ended at the server. */
   finish(now: Millis, ref: number, outcome: RequestOutcome): GateCommand[] {
     const {suspect} = this.forecast.finish(now, ref, outcome === 'ok');
@@ -239,17 +241,24 @@
     return commands;
   }
 
-  private refusalKind(now: Millis, req: ArrivedRequest): ErrorKind | undefined {
+  private refusalKind(
+    now: Millis,
+    req: ArrivedRequest,
+    mustWait: boolean,
+  ): ErrorKind | undefined {
     if (this.status === 'draining') return 'draining';
     if (this.status === 'down') return 'serverUnreachable';
     if (req.suspect && this.suspectCount > 0) return 'suspectBusy';
     if (req.deadline <= now) return 'deadlineTooShort';
-    if (this.options.deadlineAware === false) return undefined;
-    // A request that can start at once runs regardless of the estimate.
-    if (this.mustWait(now, req) && this.expectedEnd(now, req) >= req.deadline) {
-      return 'deadlineTooShort';
+    const mayMissObjective = mustWait || this.forecast.isSlow;
+    if (this.options.deadlineAware !== false && mayMissObjective) {
+      const end = this.expectedEnd(now, req);
+      // A request that can start at once runs regardless of its deadline.
+      if (mustWait && end >= req.deadline) return 'deadlineTooShort';
+      // A caller that was refused before is not refused again for missing its objective.
+      if (!req.returning && end > req.objective) return 'queueFull';
     }
-    return undefined;
+    return mustWait && this.isQueueFullFor(req) ? 'queueFull' : undefined;
   }
 
   private mustWait(now: Millis, req: ArrivedRequest): boolean {
@@ -277,12 +286,6 @@
     return this.forecast.expectedEnd(now, req, {ahead, limit, margin});
   }
 
-  // A caller that was refused before is not refused again for missing its objective.
-  private missesObjective(now: Millis, req: ArrivedRequest): boolean {
-    if (this.options.deadlineAware === false || req.returning) return false;
-    return this.expectedEnd(now, req) > req.objective;
-  }
-
   // Reroutes a queued request while another server can still answer it in time.
   private shouldReroute(now: Millis, req: QueuedRequest): boolean {
     if (this.options.reroutesWaiting === false || req.returning) return false;
@@ -290,6 +293,11 @@
     return this.expectedEnd(now, req, NO_MARGIN) > req.objective;
   }
 
+  private isQueueFullFor(req: ArrivedRequest): boolean {
+    if (this.queue.size < this.queueCapacity) return false;
+    return this.queue.evictionCandidate(req) === undefined;
+  }
+
   /** Removes a less urgent request from a full queue and returns its reference. */
   private evictFor(req: GateRequest): number | undefined {
     if (this.queue.size < this.queueCapacity) return undefined;
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -28,6 +28,51 @@
     expect(subject.finish(5, 1, 'ok')).toEqual([{type: 'start', ref: 2}]);
   });
 
+  it('predicts each of its decisions', () => {
+    const step = fc.record({
+      afterMs: fc.nat({max: 80}),
+      slowdown: fc.constantFrom(1, 1, 5),
+      priority: fc.nat({max: 2}),
+      objectiveMs: fc.integer({min: 50, max: 400}),
+      returning: fc.boolean(),
+      finishes: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 60}), steps => {
+        const subject = gate(3);
+        const running: number[] = [];
+        let now = 0;
+        steps.forEach((options, ref) => {
+          now += options.afterMs;
+          const finished = options.finishes ? running.shift() : undefined;
+          const commands = [
+            ...(finished === undefined
+              ? []
+              : subject.finish(now, finished, 'ok')),
+            ...subject.updateSlowdown(now, options.slowdown),
+          ];
+          for (const command of commands) {
+            if (command.type === 'start') running.push(command.ref);
+          }
+          const {priority, returning, objectiveMs} = options;
+          const arriving = {
+            ...request(ref),
+            route: 'lookups',
+            priority,
+            returning,
+            objective: now + objectiveMs,
+            deadline: now + 2 * objectiveMs,
+          };
+          const accepts = subject.accepts(now, arriving);
+          const admission = subject.admit(now, arriving);
+          if (admission.type === 'start') running.push(ref);
+          expect(accepts).toBe(admission.type !== 'refuse');
+        });
+      }),
+      {seed: 23, numRuns: 300},
+    );
+  });
+
   it('refuses queued and new requests while draining and lets running ones finish', () => {
     const subject = gate(1);
     subject.admit(0, request(1));
--- a/packages/gate/src/nested_call_detector.ts
+++ b/packages/gate/src/nested_call_detector.ts
@@ -26,9 +26,15 @@
     this.origins.add(origin);
     const counts = this.countsOf(route);
     counts.set(origin, (counts.get(origin) ?? 0) + 1);
-    const total = sum(counts);
-    if (total >= HALVE_AT_REQUESTS) halve(counts);
-    return this.origins.size > 1 && counts.size === 1 && total >= MIN_REQUESTS;
+    if (sum(counts) >= HALVE_AT_REQUESTS) halve(counts);
+    return this.isNested(route);
+  }
+
+  /** Whether the requests of a route are calls made by servers. */
+  isNested(route: string): boolean {
+    const counts = this.routes.get(route);
+    if (counts === undefined || this.origins.size < 2) return false;
+    return counts.size === 1 && sum(counts) >= MIN_REQUESTS;
   }
 
   private countsOf(route: string): OriginCounts {
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -5,8 +5,9 @@
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
 import type {
+  AdmissionEstimate,
+  AdmissionQuery,
   AttemptId,
-  LoadReport,
   Millis,
   ServerRecord,
   ServiceRules,
@@ -95,14 +96,24 @@
     return this.links.get(service)?.report();
   }
 
-  /** Reports the load of a server of this VM after a load check, if its load is out of date; undefined if there is no such server. */
-  freshReport(
-    service: string,
-    done: (report: LoadReport | undefined) => void,
+  /** Estimates whether the gate of a server of this VM would admit a call; undefined if there is no such server. */
+  estimateAdmission(
+    query: AdmissionQuery,
+    done: (estimate: AdmissionEstimate | undefined) => void,
   ): void {
-    const link = this.links.get(service);
-    if (link === undefined) done(undefined);
-    else link.freshReport(done);
+    const link = this.links.get(query.service);
+    if (link === undefined) {
+      done(undefined);
+      return;
+    }
+    const nested = this.nestedCallDetector.isNested(query.route);
+    const {remainingMs} = query;
+    link.estimateAdmission(
+      nested
+        ? {...query, priority: 0, objectiveRemainingMs: remainingMs}
+        : query,
+      done,
+    );
   }
 
   get servers(): ServerRecord[] {
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -4,6 +4,8 @@
 import type {GateCommand, RequestOutcome} from '@goldcresthill/gate';
 import type {Timers} from '@goldcresthill/timers';
 import type {
+  AdmissionEstimate,
+  AdmissionQuery,
   LoadReport,
   Millis,
   ServerRecord,
@@ -112,9 +114,21 @@
     return this.gate.report(this.options.timers.now());
   }
 
-  /** Reports the load, after a load check of the server if its load is out of date. */
-  freshReport(done: (report: LoadReport) => void): void {
-    this.loadChecker.refresh(() => done(this.report()));
+  /** Estimates whether the gate would admit a call, after a load check of the server if its load is out of date. */
+  estimateAdmission(
+    query: AdmissionQuery,
+    done: (estimate: AdmissionEstimate) => void,
+  ): void {
+    this.loadChecker.refresh(() => {
+      const now = this.options.timers.now();
+      const accepts = this.gate.accepts(now, {
+        ...query,
+        deadline: now + query.remainingMs,
+        objective: now + query.objectiveRemainingMs,
+        suspect: false,
+      });
+      done({report: this.gate.report(now), accepts});
+    });
   }
 
   /** Starts, queues or refuses an attempt; returns a function that cancels it. */
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -14,7 +14,7 @@
 import type {CallEnvironment, CallOutcome} from './call_runner';
 import {ClaimRunner} from './claim_runner';
 import {LoadQueryRunner} from './load_query_runner';
-import type {SendLoadQuery} from './load_query_runner';
+import type {LoadQueryOutcome, SendLoadQuery} from './load_query_runner';
 import type {OutgoingCall, OwnerReply} from './gate_client';
 
 /** Options of CallHandler. */
@@ -172,16 +172,16 @@
   private queryLoad(
     {call, router}: HandledCall,
     exclude: readonly string[],
-    done: (queried: boolean) => void,
+    done: (outcome: LoadQueryOutcome) => void,
   ): void {
     const {sendLoadQuery, timers} = this.options;
     if (sendLoadQuery === undefined) {
-      done(false);
+      done({type: 'notQueried'});
       return;
     }
-    const {service} = call.attributes;
-    const options = {service, router, timers, sendLoadQuery};
-    new LoadQueryRunner(options, exclude, () => done(true)).start();
+    const {attributes} = call;
+    const options = {attributes, router, timers, sendLoadQuery};
+    new LoadQueryRunner(options, exclude, done).start();
   }
 
   private recordOutcome(token: string, outcome: CallOutcome): void {
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -12,6 +12,7 @@
 import type {RunState} from '@goldcresthill/types';
 import type {AttemptResult, BufferedAnswer} from '../gate/messages';
 import type {OutgoingCall} from './gate_client';
+import type {LoadQueryOutcome} from './load_query_runner';
 
 /** Outcome of a call that was run, for its caller. */
 export type CallOutcome =
@@ -52,10 +53,10 @@
     retriesLeft: number,
     done: (result: AttemptResult) => void,
   ) => AttemptHandle | undefined;
-  /** Queries servers for their load before one is picked; `done` is called once, with whether load was queried. */
+  /** Queries servers for their load before one is picked; `done` is called once. */
   readonly queryLoad: (
     exclude: readonly string[],
-    done: (queried: boolean) => void,
+    done: (outcome: LoadQueryOutcome) => void,
   ) => void;
   readonly onDecision: (decision: Readonly<Record<string, unknown>>) => void;
   readonly onFault: (err: unknown) => void;
@@ -169,16 +170,16 @@
   }
 
   private send(command: CallCommand & {type: 'send'}): void {
-    this.env.queryLoad(command.exclude, loadQueried => {
+    this.env.queryLoad(command.exclude, outcome => {
       // The call may have ended during the query.
       if (this.plan.answered) return;
-      this.guard(() => this.pickAndSend(command, loadQueried));
+      this.guard(() => this.pickAndSend(command, outcome));
     });
   }
 
   private pickAndSend(
     command: CallCommand & {type: 'send'},
-    loadQueried: boolean,
+    query: LoadQueryOutcome,
   ): void {
     const {attempt} = command;
     const now = this.env.timers.now();
@@ -189,10 +190,15 @@
       this.dispatch({type: 'refused', attempt, kind: 'quarantined'});
       return;
     }
-    const pick = router.pick(now, command.exclude, {
+    if (query.type === 'refused') {
+      this.dispatch({type: 'noServer', attempt, kind: 'queueFull'});
+      return;
+    }
+    const refusing = query.type === 'choose' ? query.refusing : [];
+    const pick = router.pick(now, [...command.exclude, ...refusing], {
       explain: sampled,
       hedge: command.hedge,
-      loadQueried,
+      loadQueried: query.type === 'choose',
     });
     if (pick === undefined) {
       this.dispatch({type: 'noServer', attempt});
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -12,7 +12,12 @@
 import type {ServerView} from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import {serverId} from '@goldcresthill/types';
-import type {LoadReport, NodeAddress, ServiceRules} from '@goldcresthill/types';
+import type {
+  AdmissionEstimate,
+  AdmissionQuery,
+  NodeAddress,
+  ServiceRules,
+} from '@goldcresthill/types';
 import {fingerprintOf} from '../fingerprint';
 import type {GateTask} from '../gate/gate_task';
 import type {BufferedAnswer} from '../gate/messages';
@@ -56,7 +61,7 @@
    */
   readonly sendLoadQuery?: (
     to: NodeAddress,
-    service: string,
+    query: AdmissionQuery,
     done: (answer: LoadResponse | undefined) => void,
   ) => void;
   readonly onFault: (err: unknown) => void;
@@ -102,7 +107,7 @@
         askOwner(host, dataPort, token, incarnation),
       sendLoadQuery:
         options.sendLoadQuery &&
-        ((service, view, done) => this.sendLoadQuery(service, view, done)),
+        ((query, view, done) => this.sendLoadQuery(query, view, done)),
       onDecision: (callId, sampled, decision) =>
         options.decisions.add(callId, sampled, decision),
       onFault: options.onFault,
@@ -370,13 +375,13 @@
   }
 
   private sendLoadQuery(
-    service: string,
+    query: AdmissionQuery,
     view: ServerView,
-    done: (report: LoadReport | undefined | 'silent') => void,
+    done: (estimate: AdmissionEstimate | undefined | 'silent') => void,
   ): void {
     const {gate, address, sendLoadQuery} = this.options;
     if (view.nodeId === address.nodeId) {
-      gate.freshReport(service, done);
+      gate.estimateAdmission(query, done);
       return;
     }
     const nodeAddress = this.links.addressOf(view.nodeId);
@@ -384,13 +389,13 @@
       done('silent');
       return;
     }
-    sendLoadQuery(nodeAddress, service, answer => {
+    sendLoadQuery(nodeAddress, query, answer => {
       if (answer === undefined) {
         done('silent');
         return;
       }
       this.links.recordBootId(view.nodeId, answer.bootId);
-      done(answer.report);
+      done(answer.estimate);
     });
   }
 
--- a/packages/node/src/gateway/load_query_runner.ts
+++ b/packages/node/src/gateway/load_query_runner.ts
@@ -6,21 +6,38 @@
   ServiceRouter,
 } from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {LoadReport} from '@goldcresthill/types';
+import type {
+  AdmissionEstimate,
+  AdmissionQuery,
+  CallAttributes,
+} from '@goldcresthill/types';
 
 /**
- * Asks the node beside a server for its load. `done` receives `silent` if no
- * answer came, and undefined if the node has no such server.
+ * Asks the node beside a server for its load and for whether it would admit a
+ * call. `done` receives `silent` if no answer came, and undefined if the node
+ * has no such server.
  */
 export type SendLoadQuery = (
-  service: string,
+  query: AdmissionQuery,
   view: ServerView,
-  done: (report: LoadReport | undefined | 'silent') => void,
+  done: (estimate: AdmissionEstimate | undefined | 'silent') => void,
 ) => void;
 
+/** Result of a load query. */
+export type LoadQueryOutcome =
+  /** No server is queried; servers are chosen by the reports of earlier answers. */
+  | {readonly type: 'notQueried'}
+  | {
+      readonly type: 'choose';
+      /** Servers that would refuse the call. */
+      readonly refusing: readonly string[];
+    }
+  /** Each server queried would refuse the call. */
+  | {readonly type: 'refused'};
+
 /** Options of LoadQueryRunner. */
 export interface LoadQueryRunnerOptions {
-  readonly service: string;
+  readonly attributes: CallAttributes;
   readonly router: ServiceRouter;
   readonly timers: Timers;
   readonly sendLoadQuery: SendLoadQuery;
@@ -35,7 +52,7 @@
   constructor(
     private readonly options: LoadQueryRunnerOptions,
     exclude: readonly string[],
-    private readonly done: () => void,
+    private readonly done: (outcome: LoadQueryOutcome) => void,
   ) {
     const {router, timers} = options;
     this.loadQuery = router.createLoadQuery(timers.now(), exclude);
@@ -48,26 +65,57 @@
   private execute(command: LoadQueryCommand | undefined): void {
     if (command === undefined || this.ended) return;
     this.cancelTimeout?.();
-    if (command.type === 'choose') {
-      this.ended = true;
-      this.done();
-      return;
+    switch (command.type) {
+      case 'choose':
+        this.end(command);
+        return;
+      case 'refuse':
+        this.end({type: 'refused'});
+        return;
+      case 'ask':
+        this.ask(command);
+        return;
     }
+  }
+
+  private end(outcome: LoadQueryOutcome): void {
+    this.ended = true;
+    this.done(outcome);
+  }
+
+  private ask({views, waitMs}: LoadQueryCommand & {type: 'ask'}): void {
     const {timers} = this.options;
-    this.cancelTimeout = timers.after(command.waitMs, () =>
+    this.cancelTimeout = timers.after(waitMs, () =>
       this.execute(this.loadQuery.onTimeout(timers.now())),
     );
-    command.views.forEach(view => this.query(view));
+    views.forEach(view => this.query(view));
   }
 
   // An answer that arrives after the query has ended still updates the router.
   private query(view: ServerView): void {
-    const {service, router, timers, sendLoadQuery} = this.options;
-    sendLoadQuery(service, view, report => {
-      if (report === 'silent') return;
-      if (report === undefined) router.markDown(view.id);
-      else router.recordReport(timers.now(), view.id, report);
-      this.execute(this.loadQuery.onAnswer(timers.now(), view));
+    const {router, timers, sendLoadQuery} = this.options;
+    sendLoadQuery(this.admissionQuery(), view, estimate => {
+      if (estimate === 'silent') return;
+      const now = timers.now();
+      if (estimate === undefined) router.markDown(view.id);
+      else router.recordReport(now, view.id, estimate.report);
+      const accepts = estimate?.accepts ?? false;
+      this.execute(this.loadQuery.onAnswer(now, view, accepts));
     });
   }
+
+  private admissionQuery(): AdmissionQuery {
+    const {attributes, timers} = this.options;
+    const {service, route, origin, priority, returning} = attributes;
+    const now = timers.now();
+    return {
+      service,
+      route,
+      origin,
+      priority,
+      remainingMs: attributes.deadline - now,
+      objectiveRemainingMs: attributes.objective - now,
+      returning,
+    };
+  }
 }
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -5,7 +5,12 @@
 import {decodeDatagram, encodeDatagram} from '@goldcresthill/peers';
 import type {Datagram, LoadResponse, LoadRequest} from '@goldcresthill/peers';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {LoadReport, Millis, NodeAddress} from '@goldcresthill/types';
+import type {
+  AdmissionEstimate,
+  AdmissionQuery,
+  Millis,
+  NodeAddress,
+} from '@goldcresthill/types';
 import {fetchConfig} from '../gateway/gate_client';
 import {PeerLinks} from '../member/peer_links';
 import type {ConfigDelta} from '../member/peer_links';
@@ -14,10 +19,10 @@
 export interface DatagramEvents {
   /** Handles a gossip message of another node and returns the answer. */
   readonly onExchange: (message: ExchangeMessage) => ExchangeMessage;
-  /** Determines the load of the server on this VM; `reply` gets undefined if there is no server of that service. */
+  /** Estimates whether the server on this VM would admit a call; `reply` gets undefined if there is no server of that service. */
   readonly onLoadRequest: (
-    service: string,
-    reply: (report: LoadReport | undefined) => void,
+    query: AdmissionQuery,
+    reply: (estimate: AdmissionEstimate | undefined) => void,
   ) => void;
   /** The sender of a message last had evidence of a watcher of the configuration `ageMs` milliseconds ago. */
   readonly onWatcherSeen: (ageMs: Millis) => void;
@@ -84,13 +89,13 @@
   /** Requests the load of the server on another node's VM; calls `done` once, with undefined if no response arrived in time. */
   requestLoad(
     to: NodeAddress,
-    service: string,
+    query: AdmissionQuery,
     done: (answer: LoadResponse | undefined) => void,
   ): void {
     const ref = this.addPending(LOAD_TIMEOUT_MS, answer =>
       done(answer?.type === 'load' ? answer : undefined),
     );
-    this.send({type: 'ask', ref, service}, to);
+    this.send({type: 'ask', ref, query}, to);
   }
 
   /** Fetches the complete configuration, which is the change since revision 0. */
@@ -169,12 +174,12 @@
   }
 
   private answerLoadRequest(
-    {ref, service}: LoadRequest,
+    {ref, query}: LoadRequest,
     from: Pick<NodeAddress, 'host' | 'controlPort'>,
   ): void {
     const {bootId} = this.options.address;
-    this.options.events.onLoadRequest(service, report =>
-      this.send({type: 'load', ref, bootId, report}, from),
+    this.options.events.onLoadRequest(query, estimate =>
+      this.send({type: 'load', ref, bootId, estimate}, from),
     );
   }
 
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -271,8 +271,8 @@
       random: random ?? Math.random,
       // Quarantine updates reach the other nodes within the time of one datagram, so errors need not be delayed.
       crashErrorDelayMs: 0,
-      sendLoadQuery: (to, service, done) =>
-        this.links.requestLoad(to, service, done),
+      sendLoadQuery: (to, query, done) =>
+        this.links.requestLoad(to, query, done),
       onFault: err => this.onFault(err),
     });
   }
@@ -299,8 +299,8 @@
       watcherAgeMs: () => this.control.watcherAgeMs,
       events: {
         onExchange: message => this.control.receive(message),
-        onLoadRequest: (service, reply) =>
-          this.gate.freshReport(service, reply),
+        onLoadRequest: (query, reply) =>
+          this.gate.estimateAdmission(query, reply),
         onWatcherSeen: ageMs => this.control.recordWatcherSeen(ageMs),
         onFault: err => this.onFault(err),
       },
--- a/packages/peers/src/datagram.ts
+++ b/packages/peers/src/datagram.ts
@@ -1,6 +1,10 @@
 /** Types of the datagrams between nodes. */
 import type {ExchangeMessage} from '@goldcresthill/membership';
-import type {LoadReport, Millis} from '@goldcresthill/types';
+import type {
+  AdmissionEstimate,
+  AdmissionQuery,
+  Millis,
+} from '@goldcresthill/types';
 
 /** A membership message or the answer to one. */
 export interface ExchangeDatagram {
@@ -12,11 +16,11 @@
   readonly watchedMs: Millis;
 }
 
-/** A gateway's request for the load of the server on a node's VM. */
+/** A gateway's request for the load of the server on a node's VM, and for whether it would admit a call. */
 export interface LoadRequest {
   readonly type: 'ask';
   readonly ref: number;
-  readonly service: string;
+  readonly query: AdmissionQuery;
 }
 
 /** Current load of the server on the responding node's VM. */
@@ -26,7 +30,7 @@
   /** Boot id of the responding node's process. */
   readonly bootId: number;
   /** Undefined if the VM has no server of the requested service. */
-  readonly report: LoadReport | undefined;
+  readonly estimate: AdmissionEstimate | undefined;
 }
 
 export type Datagram = ExchangeDatagram | LoadRequest | LoadResponse;
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -6,6 +6,7 @@
   MemberStatus,
 } from '@goldcresthill/membership';
 import type {
+  AdmissionQuery,
   LoadReport,
   NodeAddress,
   ServerRecord,
@@ -139,16 +140,56 @@
   });
 
 const loadRequestSchema = z
-  .tuple([z.literal('ask'), nonNegative, nonEmpty])
-  .transform(([type, ref, service]) => ({type, ref, service}));
+  .tuple([
+    z.literal('ask'),
+    nonNegative,
+    nonEmpty,
+    z.string(),
+    z.string(),
+    nonNegative,
+    nonNegative,
+    z.number(),
+    z.boolean(),
+  ])
+  .transform(
+    ([
+      type,
+      ref,
+      service,
+      route,
+      origin,
+      priority,
+      remainingMs,
+      objectiveRemainingMs,
+      returning,
+    ]) => ({
+      type,
+      ref,
+      query: {
+        service,
+        route,
+        origin,
+        priority,
+        remainingMs,
+        objectiveRemainingMs,
+        returning,
+      },
+    }),
+  );
 
 const loadResponseSchema = z
-  .tuple([z.literal('load'), nonNegative, nonNegative, reportSchema.nullable()])
-  .transform(([type, ref, bootId, report]) => ({
+  .tuple([
+    z.literal('load'),
+    nonNegative,
+    nonNegative,
+    reportSchema.nullable(),
+    z.boolean(),
+  ])
+  .transform(([type, ref, bootId, report, accepts]) => ({
     type,
     ref,
     bootId,
-    report: report ?? undefined,
+    estimate: report === null ? undefined : {report, accepts},
   }));
 
 const datagramSchema: z.ZodType<Datagram> = z.union([
@@ -196,15 +237,11 @@
 function datagramToTuple(datagram: Datagram): unknown[] {
   switch (datagram.type) {
     case 'ask':
-      return [datagram.type, datagram.ref, datagram.service];
+      return [datagram.type, datagram.ref, ...queryToTuple(datagram.query)];
     case 'load': {
-      const {type, ref, bootId, report} = datagram;
-      return [
-        type,
-        ref,
-        bootId,
-        report === undefined ? null : reportToTuple(report),
-      ];
+      const {type, ref, bootId, estimate} = datagram;
+      const report = estimate && reportToTuple(estimate.report);
+      return [type, ref, bootId, report ?? null, estimate?.accepts ?? false];
     }
     case 'exchange':
     case 'answer': {
@@ -214,6 +251,21 @@
   }
 }
 
+function queryToTuple(query: AdmissionQuery): unknown[] {
+  const {service, route, origin, priority, returning} = query;
+  const remainingMs = Math.max(0, Math.round(query.remainingMs));
+  const objectiveRemainingMs = Math.round(query.objectiveRemainingMs);
+  return [
+    service,
+    route,
+    origin,
+    priority,
+    remainingMs,
+    objectiveRemainingMs,
+    returning,
+  ];
+}
+
 function messageToTuple(message: ExchangeMessage): unknown[] {
   return [
     addressToTuple(message.from),
--- a/packages/peers/src/datagram_codec_test.ts
+++ b/packages/peers/src/datagram_codec_test.ts
@@ -67,9 +67,23 @@
   type: fc.constant('load'),
   ref: count,
   bootId: count,
-  report: fc.option(report, {nil: undefined}),
+  estimate: fc.option(fc.record({report, accepts: fc.boolean()}), {
+    nil: undefined,
+  }),
+});
+const ask = fc.record({
+  type: fc.constant('ask'),
+  ref: count,
+  query: fc.record({
+    service: name,
+    route: fc.string(),
+    origin: fc.string(),
+    priority: count,
+    remainingMs: count,
+    objectiveRemainingMs: fc.integer({min: -10_000, max: 10_000}),
+    returning: fc.boolean(),
+  }),
 });
-const ask = fc.record({type: fc.constant('ask'), ref: count, service: name});
 const datagram = fc.oneof(exchange, load, ask) as fc.Arbitrary<Datagram>;
 
 describe('datagrams', () => {
@@ -105,7 +119,10 @@
       type: 'load',
       ref: 1_000_000,
       bootId: 1_800_000_000_000_000,
-      report: {...full, slowdown: 4, state: 'draining'},
+      estimate: {
+        report: {...full, slowdown: 4, state: 'draining'},
+        accepts: false,
+      },
     });
     expect(answer.length).toBeLessThan(100);
   });
--- a/packages/routing/src/load_query.ts
+++ b/packages/routing/src/load_query.ts
@@ -25,15 +25,17 @@
       readonly views: readonly ServerView[];
       readonly waitMs: Millis;
     }
-  /** The query has ended: choose a server with `ServiceRouter.pick`. */
-  | {readonly type: 'choose'};
+  /** The query has ended: choose a server with `ServiceRouter.pick`, but none of those that would refuse the call. */
+  | {readonly type: 'choose'; readonly refusing: readonly string[]}
+  /** The query has ended: each server queried would refuse the call. */
+  | {readonly type: 'refuse'};
 
 /**
  * Servers queried in each round. A round starts only if no server queried so
  * far has capacity. Most queries end after the first round, and each server
  * queried costs its node as much time as a part of a call.
  */
-const SERVERS_PER_ROUND = [1, 3, 7] as const;
+const SERVERS_PER_ROUND = [1, 3, 7, 14] as const;
 /** Rounds that prefer servers of the gateway's own failure domain. */
 const OWN_DOMAIN_ROUNDS = 2;
 /** A report up to this age replaces a query, milliseconds. */
@@ -64,6 +66,7 @@
 export class LoadQuery {
   private readonly queried = new Set<ServerView>();
   private readonly pending = new Set<ServerView>();
+  private readonly refusing = new Set<ServerView>();
   private round = 0;
   private awaitsFirstAnswer = false;
 
@@ -76,12 +79,18 @@
 
   /**
    * Handles the answer of a node, after its report has been recorded in the view
-   * or the server has been marked down. Returns undefined while more answers are
-   * awaited or if the server was not awaited.
+   * or the server has been marked down. `accepts` tells whether its gate would
+   * admit the call. Returns undefined while more answers are awaited or if the
+   * server was not awaited.
    */
-  onAnswer(now: Millis, view: ServerView): LoadQueryCommand | undefined {
+  onAnswer(
+    now: Millis,
+    view: ServerView,
+    accepts: boolean,
+  ): LoadQueryCommand | undefined {
     if (!this.pending.delete(view)) return undefined;
-    if (this.awaitsFirstAnswer || isLightlyLoaded(now, view))
+    if (!accepts) this.refusing.add(view);
+    else if (this.awaitsFirstAnswer || isLightlyLoaded(now, view))
       return this.choose();
     return this.pending.size === 0 ? this.endRound(now) : undefined;
   }
@@ -108,7 +117,9 @@
   }
 
   private endRound(now: Millis): LoadQueryCommand {
-    const hasUsable = [...this.queried].some(view => hasCapacity(now, view));
+    const hasUsable = [...this.queried].some(
+      view => !this.refusing.has(view) && hasCapacity(now, view),
+    );
     return hasUsable ? this.choose() : this.startNextRound(now);
   }
 
@@ -116,7 +127,7 @@
   private startNextRound(now: Millis): LoadQueryCommand {
     const roundSize = SERVERS_PER_ROUND[this.round];
     // Pending servers stay pending: `onTimeout` may go on to wait for their answers.
-    if (roundSize === undefined) return {type: 'choose'};
+    if (roundSize === undefined) return this.end();
     const {candidates, domain, gatewayNodeId} = this.options;
     const unqueried = candidates.filter(view => !this.queried.has(view));
     const inOwnDomain = unqueried.filter(view => view.domain === domain);
@@ -151,7 +162,14 @@
 
   private choose(): LoadQueryCommand {
     this.pending.clear();
-    return {type: 'choose'};
+    return this.end();
+  }
+
+  private end(): LoadQueryCommand {
+    const allRefuse =
+      this.refusing.size > 0 && this.refusing.size === this.queried.size;
+    if (allRefuse) return {type: 'refuse'};
+    return {type: 'choose', refusing: [...this.refusing].map(view => view.id)};
   }
 
   private sample(
--- a/packages/routing/src/load_query_test.ts
+++ b/packages/routing/src/load_query_test.ts
@@ -67,7 +67,7 @@
     query.begin(0);
     const [first] = ownDomain;
     first?.recordReport(1, reportOf({inFlight: 10}));
-    const nodes = queriedNodes(first && query.onAnswer(1, first));
+    const nodes = queriedNodes(first && query.onAnswer(1, first, true));
     expect(nodes).toEqual(['near-1', 'far-0', 'far-1']);
   });
 
@@ -76,7 +76,10 @@
     query.begin(0);
     const [first] = ownDomain;
     first?.recordReport(1, reportOf());
-    expect(first && query.onAnswer(1, first)).toEqual({type: 'choose'});
+    expect(first && query.onAnswer(1, first, true)).toEqual({
+      type: 'choose',
+      refusing: [],
+    });
   });
 
   it.each([
@@ -94,12 +97,12 @@
         let next: LoadQueryCommand | undefined;
         for (const view of command.views) {
           view.recordReport(1, report);
-          next = query.onAnswer(1, view);
+          next = query.onAnswer(1, view, true);
         }
         command = next;
       }
-      expect(command).toEqual({type: 'choose'});
-      expect(rounds.map(nodes => nodes.length)).toEqual([1, 3, 7]);
+      expect(command).toEqual({type: 'choose', refusing: []});
+      expect(rounds.map(nodes => nodes.length)).toEqual([1, 3, 7, 5]);
       expect(rounds.slice(0, 2).flat().join()).not.toContain('far');
       expect(rounds.at(-1)?.join()).toContain('far');
     },
@@ -111,8 +114,8 @@
     const [unresponsive, responsive] = ownDomain;
     expect(queriedNodes(query.onTimeout(8))).toContain('near-1');
     responsive?.recordReport(9, reportOf({inFlight: 8}));
-    if (responsive !== undefined) query.onAnswer(9, responsive);
-    expect(query.onTimeout(16)).toEqual({type: 'choose'});
+    if (responsive !== undefined) query.onAnswer(9, responsive, true);
+    expect(query.onTimeout(16)).toEqual({type: 'choose', refusing: []});
     expect([responsive?.isSetAside(17), unresponsive?.isSetAside(17)]).toEqual([
       false,
       true,
@@ -130,20 +133,65 @@
   it('waits longer for a first answer when no server has answered, and ends with it', () => {
     const query = makeQuery([...ownDomain, ...otherDomain]);
     const rounds = [query.begin(0)];
-    for (let now = 8; now <= 24; now += 8) rounds.push(query.onTimeout(now));
+    for (let now = 8; now <= 32; now += 8) rounds.push(query.onTimeout(now));
     expect(rounds.map(command => queriedNodes(command).length)).toEqual([
-      1, 3, 7, 0,
+      1, 3, 7, 5, 0,
     ]);
     expect(rounds.at(-1)).toMatchObject({type: 'ask', waitMs: 60});
     const [first] = rounds;
     const view = first?.type === 'ask' ? first.views[0] : undefined;
     view?.recordReport(40, reportOf({inFlight: 9}));
-    expect(view && query.onAnswer(40, view)).toEqual({type: 'choose'});
+    expect(view && query.onAnswer(40, view, true)).toEqual({
+      type: 'choose',
+      refusing: [],
+    });
   });
 
   it('queries no server while reports are fresh', () => {
     const query = makeQuery(ownDomain);
     for (const view of ownDomain) view.recordReport(100, reportOf(), 0);
-    expect(query.begin(105)).toEqual({type: 'choose'});
+    expect(query.begin(105)).toEqual({type: 'choose', refusing: []});
+  });
+
+  describe('when servers would refuse the call', () => {
+    /** Answers all queries; `accepting` are the nodes whose gates would admit the call. */
+    function answerAll(
+      query: LoadQuery,
+      accepting: readonly string[],
+      report = reportOf({inFlight: 10}),
+    ): LoadQueryCommand | undefined {
+      let command: LoadQueryCommand | undefined = query.begin(0);
+      while (command?.type === 'ask') {
+        let next: LoadQueryCommand | undefined;
+        for (const view of command.views) {
+          view.recordReport(1, report);
+          const accepts = accepting.includes(view.nodeId);
+          next = query.onAnswer(1, view, accepts) ?? next;
+        }
+        command = next;
+      }
+      return command;
+    }
+
+    it('refuses a call at once that no server would admit', () => {
+      const query = makeQuery([...ownDomain, ...otherDomain]);
+      expect(answerAll(query, [])).toEqual({type: 'refuse'});
+    });
+
+    it('chooses only among servers that would admit the call', () => {
+      const query = makeQuery(ownDomain.slice(0, 3));
+      expect(answerAll(query, ['near-2'])).toEqual({
+        type: 'choose',
+        refusing: ['near-0/s', 'near-1/s'],
+      });
+    });
+
+    it('goes on past a server with a light load that would refuse the call, as one that is cold', () => {
+      const query = makeQuery(ownDomain.slice(0, 2));
+      expect(answerAll(query, ['near-1'], reportOf())).toEqual({
+        type: 'choose',
+        refusing: ['near-0/s'],
+      });
+    });
   });
 });
--- a/packages/types/src/server.ts
+++ b/packages/types/src/server.ts
@@ -1,5 +1,5 @@
 /** Types of servers, nodes and load reports. */
-import type {Micros} from './call';
+import type {Micros, Millis} from './call';
 
 /** State of a server as its gate reports it. */
 export type ServerState = 'up' | 'draining' | 'down';
@@ -19,6 +19,29 @@
   readonly state: ServerState;
 }
 
+/** Properties of a call by which a gate decides whether to admit it. */
+export interface AdmissionQuery {
+  readonly service: string;
+  readonly route: string;
+  /** Service of the VM that the call came from. */
+  readonly origin: string;
+  /** Priority of the call; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time until the deadline. */
+  readonly remainingMs: Millis;
+  /** Time until the latency objective; negative once it has passed. */
+  readonly objectiveRemainingMs: Millis;
+  /** Whether the caller was refused before. */
+  readonly returning: boolean;
+}
+
+/** A gate's answer to an admission query. */
+export interface AdmissionEstimate {
+  readonly report: LoadReport;
+  /** Whether the gate would admit the call now. */
+  readonly accepts: boolean;
+}
+
 /** Addresses and identity of a node. */
 export interface NodeAddress {
   readonly nodeId: string;
