--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -17,7 +17,7 @@
 }
 
 /** Maximum age of a load that is used without a new check, milliseconds; a server's speed lasts longer than that. */
-const MAX_LOAD_AGE_MS = 60;
+const MAX_LOAD_AGE_MS = 15;
 /** Longest wait for the server's answer, milliseconds; after it the last known load is used. */
 const REFRESH_TIMEOUT_MS = 5;
 /** Time after a request for the load during which checks of a slow server continue, milliseconds. */
