Decode datagrams by their type, send them without a lookup, check idle connections less often

Cause: each load answer was first tried against the schema of another datagram; each send went through a lookup of an address that is already one; five listeners woke a node each second.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -14,7 +14,7 @@
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
   readonly maxConnections?: number;
   readonly maxHeaderBytes?: number;
-  /** Maximum time to receive the headers of a request, milliseconds. */
+  /** Maximum time to receive the headers of a request, milliseconds; exceeded by up to a third, at which interval it is checked. */
   readonly headersTimeoutMs?: number;
 }
 
@@ -23,18 +23,23 @@
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 /** Longer than clients keep an idle connection, so that they never send on a closing one. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
-const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+/** Interval of the checks of a timeout, as a share of it. */
+const TIMEOUT_CHECK_SHARE = 1 / 3;
 
 /** One listening port. */
 export class Listener {
   private readonly server: Server;
 
   constructor(private readonly options: ListenerOptions) {
+    const headersTimeoutMs =
+      options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
     this.server = createServer(
       {
         maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
-        headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
-        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+        headersTimeout: headersTimeoutMs,
+        connectionsCheckingInterval: Math.ceil(
+          headersTimeoutMs * TIMEOUT_CHECK_SHARE,
+        ),
         // Bodies have a separate timeout, set by the rules of the service.
         requestTimeout: 0,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -48,6 +48,8 @@
   readonly onAnswer: (answer: Datagram | undefined) => void;
 }
 
+const IPV4 = 4;
+
 /** Correlates answers with requests. Lost datagrams are not sent again. */
 export class DatagramLinks extends PeerLinks {
   private readonly pending = new Map<number, PendingRequest>();
@@ -60,7 +62,11 @@
 
   /** Binds the socket to the control port of this node. */
   async listen(): Promise<void> {
-    const socket = createSocket('udp4');
+    // Nodes are known by address, so there is nothing to look up.
+    const socket = createSocket({
+      type: 'udp4',
+      lookup: (host, _options, done) => done(null, host, IPV4),
+    });
     this.socket = socket;
     socket.on('message', (bytes, from) =>
       this.receive(bytes, from.address, from.port),
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -192,11 +192,13 @@
     estimate: report === null ? undefined : {report, accepts},
   }));
 
-const datagramSchema: z.ZodType<Datagram> = z.union([
-  loadRequestSchema,
-  loadResponseSchema,
-  exchangeSchema,
-]);
+/** Schemas by the first element of the tuple, as most datagrams concern load. */
+const SCHEMAS: Readonly<Record<Datagram['type'], z.ZodType<Datagram>>> = {
+  ask: loadRequestSchema,
+  load: loadResponseSchema,
+  exchange: exchangeSchema,
+  answer: exchangeSchema,
+};
 
 export function encodeDatagram(datagram: Datagram): string {
   return JSON.stringify(datagramToTuple(datagram));
@@ -210,10 +212,15 @@
   } catch {
     return undefined;
   }
-  const parsed = datagramSchema.safeParse(value);
+  if (!Array.isArray(value) || !isDatagramType(value[0])) return undefined;
+  const parsed = SCHEMAS[value[0]].safeParse(value);
   return parsed.success ? parsed.data : undefined;
 }
 
+function isDatagramType(value: unknown): value is Datagram['type'] {
+  return typeof value === 'string' && Object.hasOwn(SCHEMAS, value);
+}
+
 /** Encodes a list of records, for a table that is too large for a datagram. */
 export function encodeRecords(records: readonly MemberRecord[]): string {
   return JSON.stringify(records.map(recordToTuple));
