--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -17,7 +17,7 @@
 }
 
 const HOST = '127.0.0.1';
-/** The slowdown that the load header reports: a server at its usual speed. */
+/** Slowdown of a server at its usual speed. */
 const NORMAL_SLOWDOWN_PERCENT = 100;
 
 /** Runs requests that expect this instance, refuses them with 503 when all slots are busy, and counts runs by attempt id. */
@@ -28,6 +28,8 @@
   readonly callers = new Set<string>();
   /** If true, answers carry the id of another attempt. */
   returnsWrongAttemptId = false;
+  /** Slowdown that the load header reports, percent. */
+  slowdownPercent = NORMAL_SLOWDOWN_PERCENT;
   readonly startedAtMs: number;
   private readonly server: Server;
   private inFlight = 0;
@@ -85,7 +87,7 @@
     const {id, slots, serviceMs} = this.options;
     res.setHeader(
       'x-server-load',
-      `${this.inFlight},0,${slots},${NORMAL_SLOWDOWN_PERCENT}`,
+      `${this.inFlight},0,${slots},${this.slowdownPercent}`,
     );
     if (req.url === '/healthz') {
       res.writeHead(200, {'x-instance-id': id}).end();
