--- a/packages/routing/src/load_query.ts
+++ b/packages/routing/src/load_query.ts
@@ -32,8 +32,9 @@
 
 /**
  * Servers queried in each round. A round starts only if no server queried so
- * far has capacity. Most queries end after the first round, and each server
- * queried costs its node as much time as a part of a call.
+ * far has capacity. Most queries end after the first round, so a larger one
+ * would mostly cost its nodes processor time. The last one keeps a call from
+ * being refused after a small sample of a large service.
  */
 const SERVERS_PER_ROUND = [1, 3, 7, 14] as const;
 /** Rounds that prefer servers of the gateway's own failure domain. */
@@ -100,7 +101,7 @@
    * those that have not are set aside.
    */
   onTimeout(now: Millis): LoadQueryCommand {
-    if (this.hasAnswer) {
+    if (this.hasAnswer && !this.awaitsFirstAnswer) {
       for (const view of this.pending) view.recordUnanswered(now);
       this.pending.clear();
       return this.endRound(now);
@@ -166,10 +167,11 @@
   }
 
   private end(): LoadQueryCommand {
-    const allRefuse =
-      this.refusing.size > 0 && this.refusing.size === this.queried.size;
-    if (allRefuse) return {type: 'refuse'};
-    return {type: 'choose', refusing: [...this.refusing].map(view => view.id)};
+    const up = [...this.queried].filter(view => view.state === 'up');
+    const refusing = up.filter(view => this.refusing.has(view));
+    if (refusing.length > 0 && refusing.length === up.length)
+      return {type: 'refuse'};
+    return {type: 'choose', refusing: refusing.map(view => view.id)};
   }
 
   private sample(
--- a/packages/routing/src/load_query_test.ts
+++ b/packages/routing/src/load_query_test.ts
@@ -186,6 +186,26 @@
       });
     });
 
+    it('leaves it to the choice to find no server if all have gone', () => {
+      const gone = reportOf({state: 'down'});
+      const query = makeQuery(ownDomain.slice(0, 2));
+      expect(answerAll(query, [], gone)).toEqual({
+        type: 'choose',
+        refusing: [],
+      });
+    });
+
+    it('sets no server aside if the only answer, which came late, is a refusal', () => {
+      const query = makeQuery(ownDomain);
+      query.begin(0);
+      for (let now = 8; now <= 32; now += 8) query.onTimeout(now);
+      const [refusing, silent] = ownDomain;
+      refusing?.recordReport(40, reportOf());
+      if (refusing !== undefined) query.onAnswer(40, refusing, false);
+      expect(query.onTimeout(92)).toMatchObject({type: 'choose'});
+      expect(silent?.isSetAside(93)).toBe(false);
+    });
+
     it('goes on past a server with a light load that would refuse the call, as one that is cold', () => {
       const query = makeQuery(ownDomain.slice(0, 2));
       expect(answerAll(query, ['near-1'], reportOf())).toEqual({
