Read-through: a load query's origin counts as in the decision, one name for its result, plainer comments

The gate took every call on a route of nested calls for one when it estimated, but only calls of the one origin when it decided (test). The query is one tuple inside its datagram; the result of a load query has one name; constants and the account say what was measured and what was concluded.

--- a/packages/attempts/src/call_plan.ts
+++ b/packages/attempts/src/call_plan.ts
@@ -31,7 +31,7 @@
   | {
       readonly type: 'noServer';
       readonly attempt: number;
-      /** Why no server can be used, if servers are known. */
+      /** Reason if there are servers, but none would admit the call. */
       readonly kind?: ErrorKind;
     }
   | {
--- a/packages/gate/src/nested_call_detector.ts
+++ b/packages/gate/src/nested_call_detector.ts
@@ -27,14 +27,15 @@
     const counts = this.countsOf(route);
     counts.set(origin, (counts.get(origin) ?? 0) + 1);
     if (sum(counts) >= HALVE_AT_REQUESTS) halve(counts);
-    return this.isNested(route);
+    return this.isNested(route, origin);
   }
 
-  /** Whether the requests of a route are calls made by servers. */
-  isNested(route: string): boolean {
+  /** Whether the requests of a route are calls made by servers of the service `origin`. */
+  isNested(route: string, origin: string): boolean {
     const counts = this.routes.get(route);
     if (counts === undefined || this.origins.size < 2) return false;
-    return counts.size === 1 && sum(counts) >= MIN_REQUESTS;
+    const hasOneOrigin = counts.size === 1 && counts.has(origin);
+    return hasOneOrigin && sum(counts) >= MIN_REQUESTS;
   }
 
   private countsOf(route: string): OriginCounts {
--- a/packages/gate/src/nested_call_detector_test.ts
+++ b/packages/gate/src/nested_call_detector_test.ts
@@ -23,6 +23,17 @@
     expect(observe(origins, 'credentials', ['b'], 1)).toBe(false);
   });
 
+  it('predicts its classification without recording a request', () => {
+    const origins = new NestedCallDetector();
+    observe(origins, 'orders', ['a', 'b'], 100);
+    observe(origins, 'credentials', ['a'], 100);
+    expect(origins.isNested('credentials', 'a')).toBe(true);
+    expect(origins.isNested('credentials', 'b')).toBe(false);
+    expect(origins.isNested('orders', 'a')).toBe(false);
+    expect(origins.isNested('unknown', 'a')).toBe(false);
+    expect(observe(origins, 'credentials', ['a'], 1)).toBe(true);
+  });
+
   it('classifies nothing where all VMs run the same service', () => {
     const origins = new NestedCallDetector();
     expect(observe(origins, 'orders', ['a'], 1_000)).toBe(false);
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -106,14 +106,12 @@
       done(undefined);
       return;
     }
-    const nested = this.nestedCallDetector.isNested(query.route);
-    const {remainingMs} = query;
-    link.estimateAdmission(
-      nested
-        ? {...query, priority: 0, objectiveRemainingMs: remainingMs}
-        : query,
-      done,
-    );
+    const {route, origin, remainingMs} = query;
+    const nested = this.nestedCallDetector.isNested(route, origin);
+    const prioritized = nested
+      ? {...query, priority: 0, objectiveRemainingMs: remainingMs}
+      : query;
+    link.estimateAdmission(prioritized, done);
   }
 
   get servers(): ServerRecord[] {
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -190,7 +190,7 @@
       this.dispatch({type: 'refused', attempt, kind: 'quarantined'});
       return;
     }
-    if (query.type === 'refused') {
+    if (query.type === 'refuse') {
       this.dispatch({type: 'noServer', attempt, kind: 'queueFull'});
       return;
     }
--- a/packages/node/src/gateway/load_query_runner.ts
+++ b/packages/node/src/gateway/load_query_runner.ts
@@ -25,15 +25,9 @@
 
 /** Result of a load query. */
 export type LoadQueryOutcome =
-  /** No server is queried; servers are chosen by the reports of earlier answers. */
-  | {readonly type: 'notQueried'}
-  | {
-      readonly type: 'choose';
-      /** Servers that would refuse the call. */
-      readonly refusing: readonly string[];
-    }
-  /** Each server queried would refuse the call. */
-  | {readonly type: 'refused'};
+  | Exclude<LoadQueryCommand, {readonly type: 'ask'}>
+  /** Servers are chosen by the reports of earlier answers. */
+  | {readonly type: 'notQueried'};
 
 /** Options of LoadQueryRunner. */
 export interface LoadQueryRunnerOptions {
@@ -65,22 +59,12 @@
   private execute(command: LoadQueryCommand | undefined): void {
     if (command === undefined || this.ended) return;
     this.cancelTimeout?.();
-    switch (command.type) {
-      case 'choose':
-        this.end(command);
-        return;
-      case 'refuse':
-        this.end({type: 'refused'});
-        return;
-      case 'ask':
-        this.ask(command);
-        return;
+    if (command.type === 'ask') {
+      this.ask(command);
+      return;
     }
-  }
-
-  private end(outcome: LoadQueryOutcome): void {
     this.ended = true;
-    this.done(outcome);
+    this.done(command);
   }
 
   private ask({views, waitMs}: LoadQueryCommand & {type: 'ask'}): void {
--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -14,7 +14,7 @@
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
   readonly maxConnections?: number;
   readonly maxHeaderBytes?: number;
-  /** Maximum time to receive the headers of a request, milliseconds; exceeded by up to a third, at which interval it is checked. */
+  /** Maximum time to receive the headers of a request, milliseconds, checked at intervals of a third of it. */
   readonly headersTimeoutMs?: number;
 }
 
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -48,7 +48,8 @@
   readonly onAnswer: (answer: Datagram | undefined) => void;
 }
 
-const IPV4 = 4;
+/** Address family that a lookup returns for IPv4. */
+const IPV4_FAMILY = 4;
 
 /** Correlates answers with requests. Lost datagrams are not sent again. */
 export class DatagramLinks extends PeerLinks {
@@ -65,7 +66,7 @@
     // Nodes are known by address, so there is nothing to look up.
     const socket = createSocket({
       type: 'udp4',
-      lookup: (host, _options, done) => done(null, host, IPV4),
+      lookup: (host, _options, done) => done(null, host, IPV4_FAMILY),
     });
     this.socket = socket;
     socket.on('message', (bytes, from) =>
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -139,10 +139,8 @@
     };
   });
 
-const loadRequestSchema = z
+const querySchema = z
   .tuple([
-    z.literal('ask'),
-    nonNegative,
     nonEmpty,
     z.string(),
     z.string(),
@@ -151,10 +149,9 @@
     z.number(),
     z.boolean(),
   ])
-  .transform(
-    ([
-      type,
-      ref,
+  .transform(([service, route, origin, priority, ...rest]): AdmissionQuery => {
+    const [remainingMs, objectiveRemainingMs, returning] = rest;
+    return {
       service,
       route,
       origin,
@@ -162,20 +159,12 @@
       remainingMs,
       objectiveRemainingMs,
       returning,
-    ]) => ({
-      type,
-      ref,
-      query: {
-        service,
-        route,
-        origin,
-        priority,
-        remainingMs,
-        objectiveRemainingMs,
-        returning,
-      },
-    }),
-  );
+    };
+  });
+
+const loadRequestSchema = z
+  .tuple([z.literal('ask'), nonNegative, querySchema])
+  .transform(([type, ref, query]) => ({type, ref, query}));
 
 const loadResponseSchema = z
   .tuple([
@@ -244,7 +233,7 @@
 function datagramToTuple(datagram: Datagram): unknown[] {
   switch (datagram.type) {
     case 'ask':
-      return [datagram.type, datagram.ref, ...queryToTuple(datagram.query)];
+      return [datagram.type, datagram.ref, queryToTuple(datagram.query)];
     case 'load': {
       const {type, ref, bootId, estimate} = datagram;
       const report = estimate && reportToTuple(estimate.report);
@@ -261,14 +250,14 @@
 function queryToTuple(query: AdmissionQuery): unknown[] {
   const {service, route, origin, priority, returning} = query;
   const remainingMs = Math.max(0, Math.round(query.remainingMs));
-  const objectiveRemainingMs = Math.round(query.objectiveRemainingMs);
+  const objectiveMs = Math.round(query.objectiveRemainingMs);
   return [
     service,
     route,
     origin,
     priority,
     remainingMs,
-    objectiveRemainingMs,
+    objectiveMs,
     returning,
   ];
 }
--- a/packages/routing/src/load_query.ts
+++ b/packages/routing/src/load_query.ts
@@ -60,8 +60,8 @@
 
 /**
  * Load query for one call, in rounds. The first rounds prefer servers of the
- * gateway's own failure domain. If none of them has capacity, the last round
- * samples all domains: traffic between domains costs money, but a call that
+ * gateway's own failure domain. If none of them has capacity, further rounds
+ * sample all domains: traffic between domains costs money, but a call that
  * waits costs more.
  */
 export class LoadQuery {
