Log when a caller's disconnection reaches its gateway and the gate

The gateway logs callerGone with the time since the request was read and since each attempt was sent; the gate logs cancelled with the state of the attempt. No logic changed.

--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -320,6 +320,15 @@
           if (req.once) this.ledger.start(req.id);
         },
         onEnd: (req, result) => this.finishAttempt(req, result),
+        onCancelled: (req, {state, heldMs}) =>
+          this.options.events.onDecision({
+            what: 'cancelled',
+            callId: req.callId,
+            service: req.service,
+            once: req.once,
+            state,
+            heldMs: Math.round(heldMs),
+          }),
         onDied: (dead, fingerprints) => {
           this.options.events.onServerDied(dead.instance, fingerprints);
           this.publishServers();
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -25,10 +25,19 @@
   /** The attempt is about to be sent to the server. */
   readonly onStart: (req: AttemptRequest) => void;
   readonly onEnd: (req: AttemptRequest, result: AttemptResult) => void;
+  /** The gateway has cancelled the attempt. */
+  readonly onCancelled: (req: AttemptRequest, cancelled: Cancelled) => void;
   readonly onDied: (link: ServerLink, fingerprints: readonly string[]) => void;
   readonly onDrained: (link: ServerLink) => void;
 }
 
+/** A cancelled attempt at the time of its cancellation. */
+export interface Cancelled {
+  readonly state: 'queued' | 'started';
+  /** Time since its arrival at the gate. */
+  readonly heldMs: Millis;
+}
+
 interface PendingRequest {
   readonly req: AttemptRequest;
   readonly arrivedAt: Millis;
@@ -372,6 +381,10 @@
   private cancel(ref: number): void {
     const entry = this.requests.get(ref);
     if (entry === undefined) return;
+    this.options.events.onCancelled(entry.req, {
+      state: entry.started ? 'started' : 'queued',
+      heldMs: this.options.timers.now() - entry.arrivedAt,
+    });
     if (this.gate.cancelQueued(ref)) {
       this.requests.delete(ref);
       this.reportResult(entry, {type: 'refused', kind: 'fenced'});
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -9,7 +9,7 @@
   ServiceRouter,
 } from '@goldcresthill/routing';
 import type {Cancel, Timers} from '@goldcresthill/timers';
-import type {RunState} from '@goldcresthill/types';
+import type {Millis, RunState} from '@goldcresthill/types';
 import type {AttemptResult, BufferedAnswer} from '../gate/messages';
 import type {OutgoingCall} from './gate_client';
 import type {LoadQueryOutcome} from './load_query_runner';
@@ -83,6 +83,7 @@
   private hedgeTimer: Cancel | undefined;
   private ended = false;
   private timedOut = false;
+  private startedAt: Millis = 0;
 
   constructor(
     private readonly call: OutgoingCall,
@@ -102,12 +103,13 @@
   }
 
   start(): void {
-    const remainingMs = this.call.attributes.deadline - this.env.timers.now();
+    this.startedAt = this.env.timers.now();
+    const remainingMs = this.call.attributes.deadline - this.startedAt;
     this.deadlineTimer = this.env.timers.after(remainingMs, () => {
       this.timedOut = true;
       this.dispatch({type: 'deadline'});
     });
-    this.env.router.recordCall(this.env.timers.now());
+    this.env.router.recordCall(this.startedAt);
     this.dispatch({type: 'begin'});
     const hedgeAfterMs = this.env.router.hedgeAfterMs;
     if (this.call.attributes.repeatable && hedgeAfterMs < remainingMs) {
@@ -119,6 +121,7 @@
 
   /** Handles the disconnection of the caller. */
   callerGone(): void {
+    if (!this.plan.answered) this.logCallerGone();
     this.dispatch({type: 'callerGone'});
   }
 
@@ -251,6 +254,18 @@
     });
   }
 
+  // Shows whether the call was sent before its caller's disconnection was seen, and by how much.
+  private logCallerGone(): void {
+    const now = this.env.timers.now();
+    const sentAt = [...this.attempts.values()].map(entry => entry.startedAt);
+    this.env.onDecision({
+      what: 'callerGone',
+      service: this.call.attributes.service,
+      heldMs: Math.round(now - this.startedAt),
+      sentMsAgo: sentAt.map(at => Math.round(now - at)),
+    });
+  }
+
   private startSilenceTimer(attempt: number, entry: Attempt): void {
     const silenceMs = this.silenceMs();
     entry.silenceTimer = this.env.timers.after(silenceMs, () =>
