Send a request on only after its sender's close could be read

What callers saw (GONE): requests of callers that had left reached servers a second later and ran until the cancel caught up. Cause: Node.js reads a request in one turn of the event loop and the close behind it in a later one. Gateway and gate handed a request on as soon as it was read, so a node that was behind sent on what lay in its sockets together with its close. Change: DispatchQueue between the listeners and the tasks.

--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -7,6 +7,7 @@
 import type {Timers} from '@goldcresthill/timers';
 import type {AttemptId} from '@goldcresthill/types';
 import {endWithBody, pipeStream} from '../http/answer_body';
+import type {DispatchQueue} from '../http/dispatch_queue';
 import type {BodyBudget} from '../http/request_body';
 import {readBody} from '../http/request_body';
 import {endToEndHeaders} from '../http/header_filter';
@@ -21,6 +22,8 @@
   readonly timers: Timers;
   readonly gate: GateTask;
   readonly budget: BodyBudget;
+  readonly dispatchQueue: DispatchQueue;
+  readonly onDecision: (fields: Readonly<Record<string, unknown>>) => void;
   /** Returns the state of the call with a claim token at this node's gateway, and its answer if that was kept. */
   readonly answerOwnerQuery: (token: string) => {
     answer: OwnerAnswer;
@@ -99,7 +102,7 @@
     res: ServerResponse,
     attempt: string,
   ): void {
-    const {budget} = this.options;
+    const {budget, dispatchQueue} = this.options;
     const options = {
       maxBytes: MAX_BODY_BYTES,
       budget,
@@ -117,7 +120,22 @@
         return;
       }
       res.on('close', () => budget.release(body.length));
-      this.postAttempt(req, res, body, attempt);
+      dispatchQueue.add({
+        req,
+        dispatch: () => this.postAttempt(req, res, body, attempt),
+        // The attempt was never registered; a gateway that still wants to know resolves it.
+        drop: () => this.logDropped(req),
+      });
+    });
+  }
+
+  private logDropped(req: IncomingMessage): void {
+    this.options.onDecision({
+      what: 'cancelled',
+      callId: header(req, HEADERS.callId),
+      service: header(req, HEADERS.service),
+      once: header(req, HEADERS.once) === '1',
+      state: 'received',
     });
   }
 
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -21,6 +21,7 @@
 import {fingerprintOf} from '../fingerprint';
 import type {GateTask} from '../gate/gate_task';
 import type {BufferedAnswer} from '../gate/messages';
+import type {DispatchQueue} from '../http/dispatch_queue';
 import type {BodyBudget} from '../http/request_body';
 import {hasBody, readBody} from '../http/request_body';
 import {Listener} from '../http/listener';
@@ -49,6 +50,7 @@
   readonly gate: GateTask;
   readonly store: ObjectStore;
   readonly budget: BodyBudget;
+  readonly dispatchQueue: DispatchQueue;
   readonly decisions: DecisionLog;
   readonly metrics: Metrics;
   readonly random: () => number;
@@ -310,7 +312,25 @@
         return;
       }
       res.on('close', () => budget.release(body.length));
-      this.startCall(req, res, head, body, router, startedAt);
+      this.options.dispatchQueue.add({
+        req,
+        dispatch: () => this.startCall(req, res, head, body, router, startedAt),
+        drop: () => this.logDropped(head, startedAt),
+      });
+    });
+  }
+
+  private logDropped(
+    {callId, service}: CallHead & {callId: string},
+    startedAt: number,
+  ): void {
+    const {decisions, metrics} = this.options;
+    metrics.count('calls_total', {service, outcome: 'callerGone'});
+    decisions.add(callId, decisions.sample(), {
+      what: 'callerGone',
+      service,
+      heldMs: Math.round(this.timers.now() - startedAt),
+      sentMsAgo: [],
     });
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -136,6 +136,7 @@
     const {membership} = tasks.control.member;
     return {
       node: this.address.nodeId,
+      bootId: this.address.bootId,
       state: this.state,
       configRevision: tasks.control.config.current.revision,
       configAgeMs: Math.round(tasks.control.config.ageMs),
--- a/packages/node/src/operator/status.ts
+++ b/packages/node/src/operator/status.ts
@@ -31,6 +31,8 @@
 /** Response of `GET /status`. */
 export interface NodeStatus {
   readonly node: string;
+  /** Identifies this process of the node. */
+  readonly bootId: number;
   readonly state: 'starting' | 'serving' | 'leaving';
   readonly configRevision: number;
   readonly configAgeMs: number;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -19,6 +19,7 @@
 import {DecisionLog} from '../gateway/decision_log';
 import {fetchMembers} from '../gateway/gate_client';
 import {GatewayTask} from '../gateway/gateway_task';
+import {DispatchQueue} from '../http/dispatch_queue';
 import {BodyBudget} from '../http/request_body';
 import {DatagramLinks} from '../peers/datagram_links';
 import type {SidecarConfig} from './sidecar_config';
@@ -75,6 +76,7 @@
   private readonly control: SidecarControl<SidecarConfig>;
   private readonly store: BudgetedStore;
   private readonly bodyBudget: BodyBudget;
+  private readonly dispatchQueue = new DispatchQueue();
   private readonly quarantineReporter: QuarantineReporter;
   private isLeaving = false;
   private brokenInvariantCount = 0;
@@ -194,6 +196,7 @@
   }
 
   async close(): Promise<void> {
+    this.dispatchQueue.close();
     await Promise.all([
       this.control.close(),
       this.gateway.close(),
@@ -266,6 +269,7 @@
       gate: this.gate,
       store: this.store,
       budget: this.bodyBudget,
+      dispatchQueue: this.dispatchQueue,
       decisions: new DecisionLog(this.options.logger, REMEMBERED_CALLS),
       metrics,
       random: random ?? Math.random,
@@ -285,6 +289,8 @@
       incarnation: this.address.bootId,
       gate: this.gate,
       budget: this.bodyBudget,
+      dispatchQueue: this.dispatchQueue,
+      onDecision: fields => this.options.logger.decision(fields),
       answerOwnerQuery: token => this.gateway.lookUpClaim(token),
       configText: () => this.control.configText,
       memberTableText: () => this.control.memberTableText,
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -22,6 +22,7 @@
 import {QuarantineReporter} from './gateway/quarantine_reporter';
 import type {DecisionLog} from './gateway/decision_log';
 import {GatewayTask} from './gateway/gateway_task';
+import {DispatchQueue} from './http/dispatch_queue';
 import type {BodyBudget} from './http/request_body';
 import {ControlLinks} from './member/control_links';
 import {ControlListener} from './member/control_listener';
@@ -66,6 +67,7 @@
   private readonly operator: OperatorListener;
   private readonly sweeper: ClaimSweeper;
   private readonly quarantineReporter: QuarantineReporter;
+  private readonly dispatchQueue = new DispatchQueue();
 
   constructor(private readonly options: TasksOptions) {
     this.quarantineReporter = new QuarantineReporter({
@@ -99,6 +101,7 @@
 
   async close(): Promise<void> {
     this.sweeper.close();
+    this.dispatchQueue.close();
     await Promise.all([
       this.control.close(),
       this.operator.close(),
@@ -144,6 +147,7 @@
       gate: this.gate,
       store,
       budget,
+      dispatchQueue: this.dispatchQueue,
       decisions,
       metrics,
       random,
@@ -173,7 +177,7 @@
   }
 
   private makeData(): DataListener {
-    const {address, budget, settings, timers} = this.options;
+    const {address, budget, logger, settings, timers} = this.options;
     return new DataListener({
       timers,
       host: address.host,
@@ -181,6 +185,8 @@
       incarnation: address.bootId,
       gate: this.gate,
       budget,
+      dispatchQueue: this.dispatchQueue,
+      onDecision: fields => logger.decision(fields),
       answerOwnerQuery: token => this.gateway.lookUpClaim(token),
     });
   }
--- a/packages/node/src/testing/test_fleet.ts
+++ b/packages/node/src/testing/test_fleet.ts
@@ -43,8 +43,11 @@
   readonly nodes: number;
   readonly ticket?: string;
   readonly meanMs?: number;
+  /** Slots of each server. */
+  readonly slots?: number;
 }
 
+const DEFAULT_SLOTS = 10;
 const CONDITION_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 10;
 
@@ -203,7 +206,7 @@
   }
 
   private async startServer(member: TestMember): Promise<void> {
-    const slots = 10;
+    const {slots = DEFAULT_SLOTS} = this.options;
     const server = new FakeServer({
       slots,
       serviceTime: {meanMs: this.options.meanMs ?? 2, variability: 0},
--- a/packages/test-utils/src/fake_server.ts
+++ b/packages/test-utils/src/fake_server.ts
@@ -49,6 +49,10 @@
   frozen = false;
   /** Runs by request id. */
   readonly runs = new Map<string, number>();
+  /** Ids of requests that have reached the server, whether or not they run. */
+  readonly arrivals = new Set<string>();
+  /** Ids of requests whose connection was closed before their answer. */
+  readonly cancellations = new Set<string>();
   private readonly queue: QueuedRequest[] = [];
   private inFlightCount = 0;
   private readonly server: Server;
@@ -84,6 +88,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    this.trackConnection(req, res);
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of req) chunks.push(chunk as Buffer);
@@ -101,6 +106,15 @@
     this.startNext();
   }
 
+  private trackConnection(req: IncomingMessage, res: ServerResponse): void {
+    const id = req.headers['x-request-id'];
+    if (typeof id !== 'string') return;
+    this.arrivals.add(id);
+    res.on('close', () => {
+      if (!res.writableFinished) this.cancellations.add(id);
+    });
+  }
+
   private handleControl(url: string, res: ServerResponse): void {
     const [, , name, value] = url.split('/');
     if (name === 'slowdown') this.slowdown = Number(value);
