Refuse a cancelled request that still waits for a connection to its server

What callers saw (GONE): work that must not be repeated ran although its caller had left before the server received it. Cause: the gate lets such work run to its end for the sake of its answer, from the moment at which it takes a slot; an exchange that waits for a connection (up to 500 ms) had a slot too. An abort before the start of an exchange ended it only once connected. Change: HttpExchange knows whether it is sent and ends at once otherwise; a gate cancels what is not sent, as proved not to have run, and says the same of a deadline that passes meanwhile (it said serverUnreachable and checked whether the server had died).

--- a/packages/node/src/gate/server_connections.ts
+++ b/packages/node/src/gate/server_connections.ts
@@ -7,6 +7,8 @@
 
 /** A running exchange. */
 export interface ServerExchange {
+  /** Whether the request may have reached the server; false while it waits for a connection. */
+  readonly isSent: boolean;
   readonly abort: (reason: string) => void;
 }
 
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -33,7 +33,7 @@
 
 /** A cancelled attempt at the time of its cancellation. */
 export interface Cancelled {
-  readonly state: 'queued' | 'started';
+  readonly state: 'queued' | 'connecting' | 'sent';
   /** Time since its arrival at the gate. */
   readonly heldMs: Millis;
 }
@@ -60,6 +60,11 @@
   [CANCELLED, 'connectionLost'],
   [INVALID_ANSWER, 'brokenAnswer'],
 ]);
+/** The same for exchanges that were aborted while they waited for a connection; they have not run. */
+const UNSENT_ABORT_KINDS: ReadonlyMap<string, ErrorKind> = new Map([
+  [DEADLINE_PASSED, 'deadlineTooShort'],
+  [CANCELLED, 'fenced'],
+]);
 
 export interface ServerLinkOptions {
   readonly announcement: Announcement;
@@ -283,9 +288,11 @@
       return;
     }
     if (!result.sent) {
+      const unsentKind = UNSENT_ABORT_KINDS.get(result.err.message);
       this.release(ref, 'failed');
-      this.reportResult(entry, {type: 'refused', kind: 'serverUnreachable'});
-      void this.checkServerDied(ref);
+      const kind = unsentKind ?? 'serverUnreachable';
+      this.reportResult(entry, {type: 'refused', kind});
+      if (unsentKind === undefined) void this.checkServerDied(ref);
       return;
     }
     const abortKind = ABORT_KINDS.get(result.err.message);
@@ -382,7 +389,7 @@
     const entry = this.requests.get(ref);
     if (entry === undefined) return;
     this.options.events.onCancelled(entry.req, {
-      state: entry.started ? 'started' : 'queued',
+      state: stateOf(entry),
       heldMs: this.options.timers.now() - entry.arrivedAt,
     });
     if (this.gate.cancelQueued(ref)) {
@@ -390,8 +397,9 @@
       this.reportResult(entry, {type: 'refused', kind: 'fenced'});
       return;
     }
-    // A request that must not be repeated runs to its end, so that the ledger can keep its answer.
-    if (!entry.req.once) entry.exchange?.abort(CANCELLED);
+    const {exchange, req} = entry;
+    // A request that must not be repeated and may have begun runs to its end, so that the ledger can keep its answer.
+    if (!req.once || exchange?.isSent === false) exchange?.abort(CANCELLED);
   }
 
   private refuse(ref: number, kind: ErrorKind): void {
@@ -414,6 +422,11 @@
   }
 }
 
+function stateOf({started, exchange}: PendingRequest): Cancelled['state'] {
+  if (!started) return 'queued';
+  return exchange?.isSent === false ? 'connecting' : 'sent';
+}
+
 type DistributiveOmit<T, K extends PropertyKey> = T extends unknown
   ? Omit<T, K>
   : never;
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -81,10 +81,16 @@
     }
   }
 
-  /** Aborts the exchange and closes its connection. */
+  /** Whether the request may have reached the peer; false while it waits for a connection. */
+  get isSent(): boolean {
+    return this.sent;
+  }
+
+  /** Aborts the exchange and closes its connection; one that still waits for a connection ends at once and is never sent. */
   abort(reason: string): void {
     this.abortReason ??= new Error(reason);
-    this.controller?.abort(this.abortReason);
+    if (this.sent) this.controller?.abort(this.abortReason);
+    else this.fail(this.abortReason);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
--- a/packages/trials/src/call/simulated_server_connections.ts
+++ b/packages/trials/src/call/simulated_server_connections.ts
@@ -48,10 +48,11 @@
       this.state.clock.after(this.state.delayMs(), () =>
         complete({type: 'broke', sent: false, err: refused}),
       );
-      return {abort: () => undefined};
+      return {isSent: false, abort: () => undefined};
     }
     this.startRun(node, server, req, complete);
     return {
+      isSent: true,
       abort: reason =>
         complete({type: 'broke', sent: true, err: new Error(reason)}),
     };
