Read and log the limit that a server names on its requests

The platform's server-limit is decoded in answers and load checks; the gate logs serverLimit on each change.

--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -329,6 +329,14 @@
             state,
             heldMs: Math.round(heldMs),
           }),
+        onLimitNamed: ({service, instance}, requestsPerSecond, source) =>
+          this.options.events.onDecision({
+            what: 'serverLimit',
+            service,
+            instance,
+            requestsPerSecond,
+            source,
+          }),
         onDied: (dead, fingerprints) => {
           this.options.events.onServerDied(dead.instance, fingerprints);
           this.publishServers();
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -3,13 +3,18 @@
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {Millis, ServiceRules} from '@goldcresthill/types';
 import type {ServerConnections} from './server_connections';
-import type {ServerInterface, ServerLoad} from './server_interface';
+import type {
+  ServerInterface,
+  ServerLoad,
+  ServerNotice,
+} from './server_interface';
 
 export interface LoadCheckerOptions {
   readonly timers: Timers;
   readonly connections: ServerConnections;
   readonly serverInterface: ServerInterface;
   readonly onLoad: (load: ServerLoad) => void;
+  readonly onNotice: (notice: ServerNotice) => void;
   /** Whether the server is in a slow period; these are short. */
   readonly isSlow: () => boolean;
   /** Whether requests are queued until the slow period ends. */
@@ -112,7 +117,8 @@
   }
 
   private check(): void {
-    const {connections, serverInterface, timers, onLoad} = this.options;
+    const {connections, serverInterface, timers, onLoad, onNotice} =
+      this.options;
     this.checking = true;
     connections.fetchLoad(this.path, result => {
       this.checking = false;
@@ -120,6 +126,8 @@
         result.type === 'broke'
           ? undefined
           : serverInterface.loadOf(result.headers);
+      if (result.type === 'answer')
+        onNotice(serverInterface.noticeOf(result.headers));
       if (load !== undefined) {
         onLoad(load);
         return;
--- a/packages/node/src/gate/server_interface.ts
+++ b/packages/node/src/gate/server_interface.ts
@@ -21,6 +21,12 @@
   readonly slowdown: number;
 }
 
+/** What a server says of itself in its answers beside its load. */
+export interface ServerNotice {
+  /** Requests per second that the server takes from all VMs together; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined;
+}
+
 /** Request headers that a server expects, and the interpretation of its answers. */
 export abstract class ServerInterface {
   /** Returns the request headers for the server. */
@@ -38,6 +44,8 @@
   ): AnswerClass;
   /** Returns the load contained in an answer, if there is one. */
   abstract loadOf(headers: IncomingHttpHeaders): ServerLoad | undefined;
+  /** Returns what an answer says of the server beside its load. */
+  abstract noticeOf(headers: IncomingHttpHeaders): ServerNotice;
 }
 
 /** The default interface, with headers that begin with `gh-`. */
@@ -62,4 +70,8 @@
   override loadOf(): undefined {
     return undefined;
   }
+
+  override noticeOf(): ServerNotice {
+    return {requestsPerSecond: undefined};
+  }
 }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -17,7 +17,11 @@
 import {LoadChecker} from './load_checker';
 import type {Announcement, AttemptRequest, AttemptResult} from './messages';
 import type {ServerConnections, ServerExchange} from './server_connections';
-import type {ServerInterface, ServerLoad} from './server_interface';
+import type {
+  ServerInterface,
+  ServerLoad,
+  ServerNotice,
+} from './server_interface';
 import {refusalKind, requestOutcome} from './server_refusals';
 
 /** Events of a link. */
@@ -27,6 +31,12 @@
   readonly onEnd: (req: AttemptRequest, result: AttemptResult) => void;
   /** The gateway has cancelled the attempt. */
   readonly onCancelled: (req: AttemptRequest, cancelled: Cancelled) => void;
+  /** The server names another limit than before, requests per second, or none any more. */
+  readonly onLimitNamed: (
+    link: ServerLink,
+    requestsPerSecond: number | undefined,
+    source: 'answer' | 'loadCheck',
+  ) => void;
   readonly onDied: (link: ServerLink, fingerprints: readonly string[]) => void;
   readonly onDrained: (link: ServerLink) => void;
 }
@@ -84,6 +94,7 @@
   private isChecking = false;
   private died = false;
   private leaving = false;
+  private requestsPerSecond: number | undefined;
   private brokenRequests: Array<{at: Millis; fingerprint: string}> = [];
   lastAnnouncedAt: Millis;
   private readonly loadChecker: LoadChecker;
@@ -100,6 +111,7 @@
       connections,
       serverInterface,
       onLoad: load => this.recordLoad(load),
+      onNotice: notice => this.recordNotice(notice, 'loadCheck'),
       isSlow: () => this.gate.isSlow,
       isHolding: () => this.gate.isHolding,
     });
@@ -312,6 +324,8 @@
     const {status, headers, body} = result;
     const load = this.options.serverInterface.loadOf(headers);
     if (load !== undefined) this.recordLoad(load);
+    const notice = this.options.serverInterface.noticeOf(headers);
+    this.recordNotice(notice, 'answer');
     const {req} = entry;
     const answerClass = this.options.serverInterface.classifyAnswer(
       req,
@@ -329,6 +343,15 @@
     this.reportResult(entry, {type: 'answered', status, headers, body});
   }
 
+  private recordNotice(
+    {requestsPerSecond}: ServerNotice,
+    source: 'answer' | 'loadCheck',
+  ): void {
+    if (requestsPerSecond === this.requestsPerSecond) return;
+    this.requestsPerSecond = requestsPerSecond;
+    this.options.events.onLimitNamed(this, requestsPerSecond, source);
+  }
+
   private recordLoad(load: ServerLoad): void {
     const now = this.options.timers.now();
     this.execute(this.gate.updateSlowdown(now, load.slowdown));
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -31,7 +31,11 @@
 export {ServerConnections} from './gate/server_connections';
 export type {ServerExchange} from './gate/server_connections';
 export {OwnServerInterface, ServerInterface} from './gate/server_interface';
-export type {AnswerClass, ServerLoad} from './gate/server_interface';
+export type {
+  AnswerClass,
+  ServerLoad,
+  ServerNotice,
+} from './gate/server_interface';
 export type {ExchangeRequest, ExchangeResult} from './http/exchange';
 export {ControlPlane} from './control_plane';
 export {SidecarControl} from './sidecar/sidecar_control';
