Hold a server to the limit on requests per second that it names

Cause: nothing read the limit. Gates count requests at work, and slots hold short work back too little. Change: RequestRateLimit at the gate of the server, which every request passes: a token bucket of the named rate with half a second of burst. Requests wait for it as for a slot, and are refused at once or elsewhere when they cannot be in time. Load checks count towards it and fall to one a second. The reported slots are those that the rate can fill, so that gateways prefer others.

--- a/packages/budgets/src/token_bucket.ts
+++ b/packages/budgets/src/token_bucket.ts
@@ -55,6 +55,11 @@
     return this.tokens;
   }
 
+  /** Milliseconds in which one token is added; infinite if none is. */
+  get waitPerTokenMs(): Millis {
+    return MILLIS_PER_SECOND / this.perSecond;
+  }
+
   /** Milliseconds until the tokens are available; infinite if they never will be. */
   waitMs(now: Millis, count = 1): Millis {
     this.refill(now);
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -9,6 +9,7 @@
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
 import {Forecast} from './forecast';
+import {RequestRateLimit} from './request_rate_limit';
 import {RequestQueue} from './request_queue';
 
 /** Options of {@link Gate}. */
@@ -64,6 +65,7 @@
   | {readonly type: 'drained'};
 
 const PERCENT = 100;
+const MICROS_PER_SECOND = 1_000_000;
 /** Reference of a request that no queue contains. */
 const UNREGISTERED_REF = -1;
 /** Fraction of the remaining time that a request may wait at one gate. */
@@ -89,6 +91,7 @@
   private readonly forecast = new Forecast();
   private readonly queue = new RequestQueue<QueuedRequest>();
   private readonly limit: AdaptiveLimit;
+  private readonly rateLimit = new RequestRateLimit();
   private readonly slots: number;
   private rules: ServiceRules;
   private suspectCount = 0;
@@ -192,6 +195,27 @@
     return this.appendDrained(this.startQueued(now));
   }
 
+  /** Applies the limit that the server names, requests per second; undefined if it names none. */
+  limitRate(now: Millis, perSecond: number | undefined): GateCommand[] {
+    this.rateLimit.configure(now, perSecond);
+    return this.appendDrained(this.startQueued(now));
+  }
+
+  /** The limit that the server names, requests per second; undefined if it names none. */
+  get namedRate(): number | undefined {
+    return this.rateLimit.rate;
+  }
+
+  /** Counts a load check of the server; returns false if its limit does not allow one now. */
+  takeLoadCheck(now: Millis): boolean {
+    return this.rateLimit.takeCheck(now);
+  }
+
+  /** Time until the server's limit allows the next request, milliseconds. */
+  rateWaitMs(now: Millis): Millis {
+    return this.rateLimit.waitMs(now, 0);
+  }
+
   get hasQueued(): boolean {
     return this.queue.size > 0;
   }
@@ -211,7 +235,7 @@
     return {
       inFlight: this.inFlight,
       queued: this.queue.size,
-      limit: this.limit.current(now),
+      limit: this.reportedLimit(now),
       ...this.forecast.reportFields(now),
       state: this.status,
     };
@@ -225,6 +249,16 @@
     return this.forecast.inFlight;
   }
 
+  // A rate allows as many requests at once as it starts in the time that one takes.
+  private reportedLimit(now: Millis): number {
+    const limit = this.limit.current(now);
+    const rate = this.rateLimit.rate;
+    if (rate === undefined) return limit;
+    const {serviceUs, slowdown} = this.forecast.reportFields(now);
+    const concurrent = (rate * serviceUs * slowdown) / MICROS_PER_SECOND;
+    return Math.max(1, Math.min(limit, Math.round(concurrent)));
+  }
+
   private startQueued(now: Millis): GateCommand[] {
     const commands: GateCommand[] = [];
     while (this.hasSlot(now)) {
@@ -283,7 +317,10 @@
     const ahead = this.queue.countAhead(req, other =>
       this.forecast.endIfStarted(now, other),
     );
-    return this.forecast.expectedEnd(now, req, {ahead, limit, margin});
+    const end = this.forecast.expectedEnd(now, req, {ahead, limit, margin});
+    const rateWaitMs = this.rateLimit.waitMs(now, ahead);
+    if (rateWaitMs === 0) return end;
+    return Math.max(end, this.forecast.endIfStarted(now, req) + rateWaitMs);
   }
 
   // Reroutes a queued request while another server can still answer it in time.
@@ -327,7 +364,9 @@
   }
 
   private hasSlot(now: Millis): boolean {
-    return this.inFlight < this.limit.current(now);
+    return (
+      this.inFlight < this.limit.current(now) && this.rateLimit.isOpen(now)
+    );
   }
 
   private start(now: Millis, req: ArrivedRequest): void {
@@ -336,6 +375,12 @@
       'gate.drain',
       () => 'started a request at a server that is not up',
     );
+    const isWithinRate = this.rateLimit.take(now);
+    invariant(
+      isWithinRate,
+      'gate.rate',
+      () => 'started a request above the limit that the server names',
+    );
     this.forecast.start(now, req.ref, req);
     if (req.suspect) this.suspectCount++;
     this.assertBounds();
--- /dev/null
+++ b/packages/gate/src/request_rate_limit.ts
@@ -0,0 +1,64 @@
+/** Limit on the requests per second to a server, as the server itself names it while it is in need. */
+import {TokenBucket} from '@goldcresthill/budgets';
+import type {Millis} from '@goldcresthill/types';
+
+/** Requests that may follow each other at once, as the requests of this time. */
+const BURST_SECONDS = 0.5;
+/** Lowest rate that is kept, requests per second: a server that takes none is asked again, as only its answers end a limit. */
+const MIN_PER_SECOND = 0.25;
+/** Load checks per second while a limit is in force; each counts towards the limit. */
+const CHECKS_PER_SECOND = 1;
+const MILLIS_PER_SECOND = 1_000;
+
+/** Grants at most `rate × time + max(1, rate / 2)` requests over any time during which the server names the same rate. */
+export class RequestRateLimit {
+  private bucket: TokenBucket | undefined;
+  private perSecond: number | undefined;
+  private checkedAt: Millis = -Infinity;
+
+  /** Applies the rate that the server names, requests per second; undefined ends the limit. */
+  configure(now: Millis, perSecond: number | undefined): void {
+    if (perSecond === this.perSecond) return;
+    this.perSecond = perSecond;
+    if (perSecond === undefined) {
+      this.bucket = undefined;
+      return;
+    }
+    const rate = Math.max(MIN_PER_SECOND, perSecond);
+    const options = {perSecond: rate, burst: Math.max(1, rate * BURST_SECONDS)};
+    if (this.bucket === undefined) this.bucket = new TokenBucket(now, options);
+    else this.bucket.configure(now, options);
+  }
+
+  /** Requests per second, as named by the server; undefined without a limit. */
+  get rate(): number | undefined {
+    return this.perSecond;
+  }
+
+  /** Whether a request may start now. */
+  isOpen(now: Millis): boolean {
+    return this.bucket === undefined || this.bucket.available(now) >= 1;
+  }
+
+  /** Counts a request that starts; returns false if none may. */
+  take(now: Millis): boolean {
+    return this.bucket === undefined || this.bucket.take(now);
+  }
+
+  /** Counts a load check, which reaches the server like a request; returns false if it may not be sent now. */
+  takeCheck(now: Millis): boolean {
+    if (this.bucket === undefined) return true;
+    if (now - this.checkedAt < MILLIS_PER_SECOND / CHECKS_PER_SECOND)
+      return false;
+    if (!this.bucket.take(now)) return false;
+    this.checkedAt = now;
+    return true;
+  }
+
+  /** Time until a request may start that has `ahead` others before it. */
+  waitMs(now: Millis, ahead: number): Millis {
+    if (this.bucket === undefined) return 0;
+    const missing = ahead + 1 - this.bucket.available(now);
+    return Math.max(0, missing * this.bucket.waitPerTokenMs);
+  }
+}
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -405,11 +405,16 @@
 
   // Only links with queued requests are checked at the short interval.
   private scheduleQueueCheck(): void {
-    const hasQueued = [...this.links.values()].some(link => link.hasQueued);
-    if (!hasQueued || this.closed || this.cancelQueueCheck !== undefined)
+    const queued = [...this.links.values()].filter(link => link.hasQueued);
+    if (
+      queued.length === 0 ||
+      this.closed ||
+      this.cancelQueueCheck !== undefined
+    )
       return;
+    const rateWaits = queued.map(link => link.rateWaitMs).filter(ms => ms > 0);
     this.cancelQueueCheck = this.options.timers.after(
-      QUEUE_CHECK_INTERVAL_MS,
+      Math.min(QUEUE_CHECK_INTERVAL_MS, ...rateWaits),
       () => {
         this.cancelQueueCheck = undefined;
         this.post({type: 'checkQueues'});
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -15,6 +15,8 @@
   readonly serverInterface: ServerInterface;
   readonly onLoad: (load: ServerLoad) => void;
   readonly onNotice: (notice: ServerNotice) => void;
+  /** Counts a check towards the limit that the server names; false if it allows none now. */
+  readonly takeCheck: () => boolean;
   /** Whether the server is in a slow period; these are short. */
   readonly isSlow: () => boolean;
   /** Whether requests are queued until the slow period ends. */
@@ -96,7 +98,8 @@
   private mayCheck(now: Millis): boolean {
     if (this.closed || this.path === '' || now < this.backoffUntil)
       return false;
-    return this.checking || this.bucket.take(now);
+    if (this.checking) return true;
+    return this.bucket.take(now) && this.options.takeCheck();
   }
 
   private scheduleCheckWhileSlow(): void {
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -94,7 +94,6 @@
   private isChecking = false;
   private died = false;
   private leaving = false;
-  private requestsPerSecond: number | undefined;
   private brokenRequests: Array<{at: Millis; fingerprint: string}> = [];
   lastAnnouncedAt: Millis;
   private readonly loadChecker: LoadChecker;
@@ -112,6 +111,7 @@
       serverInterface,
       onLoad: load => this.recordLoad(load),
       onNotice: notice => this.recordNotice(notice, 'loadCheck'),
+      takeCheck: () => this.gate.takeLoadCheck(timers.now()),
       isSlow: () => this.gate.isSlow,
       isHolding: () => this.gate.isHolding,
     });
@@ -225,6 +225,11 @@
     return this.gate.hasQueued;
   }
 
+  /** Time until the limit that the server names allows the next request, milliseconds. */
+  get rateWaitMs(): Millis {
+    return this.gate.rateWaitMs(this.options.timers.now());
+  }
+
   get inFlight(): number {
     return this.requests.size;
   }
@@ -347,9 +352,11 @@
     {requestsPerSecond}: ServerNotice,
     source: 'answer' | 'loadCheck',
   ): void {
-    if (requestsPerSecond === this.requestsPerSecond) return;
-    this.requestsPerSecond = requestsPerSecond;
+    if (requestsPerSecond === this.gate.namedRate) return;
     this.options.events.onLimitNamed(this, requestsPerSecond, source);
+    this.execute(
+      this.gate.limitRate(this.options.timers.now(), requestsPerSecond),
+    );
   }
 
   private recordLoad(load: ServerLoad): void {
