Drain a server that says in an answer that it is leaving

Change: the gate drains the server process at once, publishes its leaving to the other nodes and writes it to the store, as after a deregistration, so that neither a restarted node nor a late report opens it again. A gate checks the load of a server once when it first may, so that it learns a limit or a leaving before it starts requests.

--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -297,7 +297,7 @@
     }
   }
 
-  // Applies the shutdown of a server process that an earlier process of this node acknowledged.
+  // Applies the shutdown of a server process that it announced in an answer, or to an earlier process of this node.
   private markLeft(instance: string): void {
     if (this.announcementOrder.hasLeft(instance)) return;
     this.announcementOrder.markLeft(instance);
@@ -329,6 +329,10 @@
             state,
             heldMs: Math.round(heldMs),
           }),
+        onLeaving: ({instance}) => {
+          this.markLeft(instance);
+          this.options.events.onServerLeaving(instance);
+        },
         onLimitNamed: ({service, instance}, requestsPerSecond, source) =>
           this.options.events.onDecision({
             what: 'serverLimit',
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -55,10 +55,13 @@
   }
 
   configure({loadPath, loadChecksPerSecond}: ServiceRules): void {
+    const isFirst = this.path === '' && loadPath !== '';
     this.path = loadPath;
     const perSecond = loadChecksPerSecond * CHECK_RATE_SHARE;
     const burst = Math.min(2, perSecond);
     this.bucket.configure(this.options.timers.now(), {perSecond, burst});
+    // A server that is leaving or limits its requests says so in its first answer.
+    if (isFirst) this.refresh(() => undefined);
   }
 
   /** Calls `done` once the load is up to date; at once if it may not be checked now, and after `REFRESH_TIMEOUT_MS` at the latest. */
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -108,6 +108,8 @@
 export interface GateEvents {
   /** Receives all servers of this VM whenever one has changed. */
   readonly onServers: (servers: readonly ServerRecord[]) => void;
+  /** A server process has said in an answer, rather than by an announcement, that it is about to shut down. */
+  readonly onServerLeaving: (instance: string) => void;
   /** A server died; receives the fingerprints of the requests in flight there. */
   readonly onServerDied: (
     instance: string,
--- a/packages/node/src/gate/server_interface.ts
+++ b/packages/node/src/gate/server_interface.ts
@@ -25,6 +25,8 @@
 export interface ServerNotice {
   /** Requests per second that the server takes from all VMs together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the server is about to shut down. */
+  readonly leaving: boolean;
 }
 
 /** Request headers that a server expects, and the interpretation of its answers. */
@@ -72,6 +74,6 @@
   }
 
   override noticeOf(): ServerNotice {
-    return {requestsPerSecond: undefined};
+    return {requestsPerSecond: undefined, leaving: false};
   }
 }
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -31,6 +31,8 @@
   readonly onEnd: (req: AttemptRequest, result: AttemptResult) => void;
   /** The gateway has cancelled the attempt. */
   readonly onCancelled: (req: AttemptRequest, cancelled: Cancelled) => void;
+  /** The server says in an answer that it is about to shut down. */
+  readonly onLeaving: (link: ServerLink) => void;
   /** The server names another limit than before, requests per second, or none any more. */
   readonly onLimitNamed: (
     link: ServerLink,
@@ -349,9 +351,10 @@
   }
 
   private recordNotice(
-    {requestsPerSecond}: ServerNotice,
+    {requestsPerSecond, leaving}: ServerNotice,
     source: 'answer' | 'loadCheck',
   ): void {
+    if (leaving && !this.leaving) this.options.events.onLeaving(this);
     if (requestsPerSecond === this.gate.namedRate) return;
     this.options.events.onLimitNamed(this, requestsPerSecond, source);
     this.execute(
--- a/packages/node/src/gate/server_link_test.ts
+++ b/packages/node/src/gate/server_link_test.ts
@@ -84,6 +84,7 @@
       onEnd: (_req, result) =>
         events.push(`${result.type} ${'kind' in result && result.kind}`),
       onCancelled: (_req, {state}) => events.push(`cancelled ${state}`),
+      onLeaving: () => undefined,
       onLimitNamed: () => undefined,
       onDied: () => events.push('died'),
       onDrained: () => undefined,
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -246,6 +246,7 @@
       incarnation: this.address.bootId,
       events: {
         onServers: servers => this.onServers(servers),
+        onServerLeaving: instance => this.recordLeaving(instance),
         onServerDied: (instance, fingerprints) =>
           this.quarantineReporter.reportServerDeath(instance, fingerprints),
         onCompleted: fingerprint =>
@@ -354,6 +355,12 @@
     this.resolveLeavingKnown();
   }
 
+  private recordLeaving(instance: string): void {
+    this.options.logger.info('serverLeaving', {instance});
+    this.publishLeaving();
+    void this.control.persistLeaving(instance);
+  }
+
   private publishLeaving(): void {
     this.control.setLeaving(this.gate.leavingServers);
   }
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -123,6 +123,7 @@
       incarnation: address.bootId,
       events: {
         onServers: servers => this.onServers(servers),
+        onServerLeaving: () => undefined,
         onServerDied: (instance, fingerprints) =>
           this.quarantineReporter.reportServerDeath(instance, fingerprints),
         onCompleted: fingerprint =>
--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -30,6 +30,10 @@
   returnsWrongAttemptId = false;
   /** Slowdown that the load header reports, percent. */
   slowdownPercent = NORMAL_SLOWDOWN_PERCENT;
+  /** If true, answers say that the server is about to shut down. */
+  saysLeaving = false;
+  /** Requests per second that answers name as the server's limit. */
+  requestsPerSecond: number | undefined;
   readonly startedAtMs: number;
   private readonly server: Server;
   private inFlight = 0;
@@ -89,6 +93,9 @@
       'x-server-load',
       `${this.inFlight},0,${slots},${this.slowdownPercent}`,
     );
+    if (this.saysLeaving) res.setHeader('server-leaving', '1');
+    if (this.requestsPerSecond !== undefined)
+      res.setHeader('server-limit', String(this.requestsPerSecond));
     if (req.url === '/healthz') {
       res.writeHead(200, {'x-instance-id': id}).end();
       return;
--- a/packages/trials/src/call/call_simulation.ts
+++ b/packages/trials/src/call/call_simulation.ts
@@ -362,6 +362,7 @@
           const update = (): void => this.updateRouters();
           this.state.clock.after(this.state.delayMs(), update);
         },
+        onServerLeaving: () => undefined,
         onServerDied: () => undefined,
         onCompleted: () => undefined,
         onFault: err => this.state.recordFailure(err),
