--- a/packages/bench/src/virtual/arms.ts
+++ b/packages/bench/src/virtual/arms.ts
@@ -5,19 +5,20 @@
 /** The trial options that an arm sets. */
 export type ArmOptions = Pick<
   RoutingTrialOptions,
-  | 'policy'
-  | 'rules'
-  | 'scoringFeatures'
-  | 'adaptiveLimit'
-  | 'deadlineAware'
-  | 'reroutesWaiting'
-  | 'ideal'
+  'policy' | 'rules' | 'scoringFeatures' | 'ideal'
 >;
 
 /** A baseline that behaves like an ordinary load balancer: no hedging, no retries, no re-routing, no deadline checks and practically unbounded queues. */
 function baseline(policy: PolicyName): ArmOptions {
-  const rules = {hedgePercent: 0, maxRetries: 0, queuePerSlot: 100_000};
-  return {policy, rules, deadlineAware: false, reroutesWaiting: false};
+  return {
+    policy,
+    rules: {
+      hedgePercent: 0,
+      maxRetries: 0,
+      queuePerSlot: 100_000,
+      disabled: ['deadlineCheck', 'leavingQueues'],
+    },
+  };
 }
 
 const OURS = {policy: 'expectedTime'} as const;
@@ -37,9 +38,11 @@
   'without locality': {...OURS, scoringFeatures: {locality: false}},
   'without error penalty': {...OURS, scoringFeatures: {errors: false}},
   'without probes': {...OURS, rules: {probePercent: 0}},
-  'without shed limit': {...OURS, adaptiveLimit: false},
-  'without leaving queues': {...OURS, reroutesWaiting: false},
-  'without deadline check': {...OURS, deadlineAware: false},
+  'without shed limit': {...OURS, rules: {disabled: ['shedLimit']}},
+  'without leaving queues': {...OURS, rules: {disabled: ['leavingQueues']}},
+  'without slow periods': {...OURS, rules: {disabled: ['slowPeriods']}},
+  'without setting aside': {...OURS, rules: {disabled: ['settingAside']}},
+  'without deadline check': {...OURS, rules: {disabled: ['deadlineCheck']}},
 } as const satisfies Record<string, ArmOptions>;
 
 /** Names of the arms. */
@@ -66,5 +69,7 @@
   'without probes',
   'without shed limit',
   'without leaving queues',
+  'without slow periods',
+  'without setting aside',
   'without deadline check',
 ];
--- a/packages/bench/src/virtual/routing_trial.ts
+++ b/packages/bench/src/virtual/routing_trial.ts
@@ -33,11 +33,8 @@
   readonly seconds?: number;
   readonly rules?: Partial<ServiceRules>;
   readonly scoringFeatures?: Partial<ScoringFeatures>;
-  readonly adaptiveLimit?: boolean;
   /** Chooses by the true current load and slowdown, which no gateway can know. */
   readonly ideal?: boolean;
-  readonly deadlineAware?: boolean;
-  readonly reroutesWaiting?: boolean;
   /** Age of load reports when the gateway receives them, milliseconds. */
   readonly staleMs?: number;
 }
@@ -172,9 +169,6 @@
     return new Gate(this.clock.now, {
       slots: this.options.site.slots,
       rules: this.rules,
-      adaptiveLimit: this.options.adaptiveLimit,
-      deadlineAware: this.options.deadlineAware,
-      reroutesWaiting: this.options.reroutesWaiting,
     });
   }
 
@@ -191,7 +185,7 @@
   private makePolicy(): RoutingPolicy {
     const {policy, scoringFeatures} = this.options;
     if (this.options.ideal) return new IdealPolicy(id => this.trueTimeMs(id));
-    if (policy !== 'expectedTime') return createPolicy(policy);
+    if (policy !== 'expectedTime') return createPolicy(this.rules);
     return new ExpectedTimePolicy({
       ...ALL_SCORING_FEATURES,
       ...scoringFeatures,
--- a/packages/gate/src/adaptive_limit.ts
+++ b/packages/gate/src/adaptive_limit.ts
@@ -14,7 +14,7 @@
   readonly startedAt: Millis;
   readonly warmUpMs: number;
   /** If false, only the warm-up reduces the limit. */
-  readonly adaptive?: boolean;
+  readonly adaptive: boolean;
 }
 
 /** Decreases multiplicatively when the server sheds, as it then reported too many slots, and increases by one at a time. */
@@ -23,16 +23,23 @@
   private changedAt: Millis;
   private warmUpMs: number;
   private slots: number;
+  private adaptive: boolean;
 
   constructor(private readonly options: AdaptiveLimitOptions) {
     this.slots = options.slots;
+    this.adaptive = options.adaptive;
     this.limit = options.slots;
     this.changedAt = options.startedAt;
     this.warmUpMs = options.warmUpMs;
   }
 
-  /** Changes the slots and the length of the warm-up, which still counts from the original start. */
-  configure(slots: number, warmUpMs: number): void {
+  /** Changes the options but for the start of the warm-up, from which it still counts. */
+  configure({
+    slots,
+    warmUpMs,
+    adaptive,
+  }: Omit<AdaptiveLimitOptions, 'startedAt'>): void {
+    this.adaptive = adaptive;
     if (slots !== this.slots) this.limit = slots;
     this.slots = slots;
     this.warmUpMs = warmUpMs;
@@ -40,7 +47,7 @@
 
   /** Records a finished request; `running` includes it. */
   observe(now: Millis, shed: boolean, running: number): void {
-    if (this.options.adaptive === false) return;
+    if (!this.adaptive) return;
     if (shed) {
       this.limit = Math.max(1, Math.min(this.limit, running) * DECREASE_FACTOR);
       this.changedAt = now;
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -6,8 +6,10 @@
   Millis,
   ServerState,
   ServiceRules,
+  Mechanism,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
+import type {AdaptiveLimitOptions} from './adaptive_limit';
 import {Forecast} from './forecast';
 import {RequestRateLimit} from './request_rate_limit';
 import {RequestQueue} from './request_queue';
@@ -17,12 +19,6 @@
   /** Concurrent requests that the server announced. */
   readonly slots: number;
   readonly rules: ServiceRules;
-  /** If false, the concurrency limit does not react to requests that the server sheds. */
-  readonly adaptiveLimit?: boolean;
-  /** If false, a queued request may wait here until its deadline instead of being refused early for another server. */
-  readonly reroutesWaiting?: boolean;
-  /** If false, requests are admitted whether or not they are expected to meet their deadline or objective. */
-  readonly deadlineAware?: boolean;
 }
 
 /** A request that asks for admission. */
@@ -98,18 +94,10 @@
   private status: ServerState = 'up';
   private drainedReported = false;
 
-  constructor(
-    now: Millis,
-    private readonly options: GateOptions,
-  ) {
+  constructor(now: Millis, options: GateOptions) {
     this.rules = options.rules;
     this.slots = Math.max(1, Math.min(options.slots, options.rules.maxSlots));
-    this.limit = new AdaptiveLimit({
-      slots: this.usableSlots,
-      startedAt: now,
-      warmUpMs: options.rules.warmUpMs,
-      adaptive: options.adaptiveLimit,
-    });
+    this.limit = new AdaptiveLimit({startedAt: now, ...this.limitOptions});
   }
 
   /** Decides whether an arriving request starts, is queued or is refused. */
@@ -186,7 +174,7 @@
   /** Applies new rules; the slots stay as announced by the server. */
   configure(rules: ServiceRules): void {
     this.rules = rules;
-    this.limit.configure(this.usableSlots, rules.warmUpMs);
+    this.limit.configure(this.limitOptions);
   }
 
   /** Records the slowdown that the server reports: how many times longer than usual a request takes that starts now. */
@@ -285,7 +273,7 @@
     if (req.suspect && this.suspectCount > 0) return 'suspectBusy';
     if (req.deadline <= now) return 'deadlineTooShort';
     const mayMissObjective = mustWait || this.forecast.isSlow;
-    if (this.options.deadlineAware !== false && mayMissObjective) {
+    if (this.isOn('deadlineCheck') && mayMissObjective) {
       const end = this.expectedEnd(now, req);
       // A request that can start at once runs regardless of its deadline.
       if (mustWait && end >= req.deadline) return 'deadlineTooShort';
@@ -296,14 +284,14 @@
   }
 
   private mustWait(now: Millis, req: ArrivedRequest): boolean {
-    if (!this.hasSlot(now) || !this.forecast.mayStart(now, req)) return true;
+    if (!this.hasSlot(now) || !this.mayStart(now, req)) return true;
     return this.nextStartable(now) !== undefined;
   }
 
   private nextStartable(now: Millis): QueuedRequest | undefined {
     return this.queue.next(
       req => this.forecast.endIfStarted(now, req),
-      req => this.forecast.mayStart(now, req),
+      req => this.mayStart(now, req),
     );
   }
 
@@ -325,7 +313,7 @@
 
   // Reroutes a queued request while another server can still answer it in time.
   private shouldReroute(now: Millis, req: QueuedRequest): boolean {
-    if (this.options.reroutesWaiting === false || req.returning) return false;
+    if (!this.isOn('leavingQueues') || req.returning) return false;
     if (req.objective >= req.deadline) return false;
     return this.expectedEnd(now, req, NO_MARGIN) > req.objective;
   }
@@ -345,7 +333,7 @@
   }
 
   private maxWaitMs(now: Millis, req: ArrivedRequest): Millis {
-    if (this.options.reroutesWaiting === false) return req.deadline - now;
+    if (!this.isOn('leavingQueues')) return req.deadline - now;
     const latestStart = this.forecast.latestStart(req);
     const end = latestStart > now ? req.objective : req.deadline;
     const sharedMs = (end - now) * MAX_WAIT_FRACTION;
@@ -354,6 +342,22 @@
     return Math.max(sharedMs, latestStart - now);
   }
 
+  private mayStart(now: Millis, req: ArrivedRequest): boolean {
+    return !this.isOn('slowPeriods') || this.forecast.mayStart(now, req);
+  }
+
+  private isOn(mechanism: Mechanism): boolean {
+    return !this.rules.disabled.includes(mechanism);
+  }
+
+  private get limitOptions(): Omit<AdaptiveLimitOptions, 'startedAt'> {
+    return {
+      slots: this.usableSlots,
+      warmUpMs: this.rules.warmUpMs,
+      adaptive: this.isOn('shedLimit'),
+    };
+  }
+
   private get usableSlots(): number {
     const share = this.rules.slotPercent / PERCENT;
     return Math.max(1, Math.floor(this.slots * share));
--- a/packages/ini-document/src/fields.ts
+++ b/packages/ini-document/src/fields.ts
@@ -56,6 +56,18 @@
     .describe(`a list parted by commas of whole numbers from ${min} to ${max}`);
 }
 
+/** A comma-separated list of the given words. An empty value is an empty list. */
+export function words<const T extends string>(known: readonly T[]) {
+  const isKnown = (item: string): item is T =>
+    known.some(word => word === item);
+  return z
+    .string()
+    .transform(splitList)
+    .refine(items => items.every(isKnown))
+    .transform(items => items.filter(isKnown))
+    .describe(`a list parted by commas of ${known.join(', ')}`);
+}
+
 /** `true` or `false`. */
 export function boolean() {
   return z
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -107,7 +107,9 @@
       return;
     }
     const {route, origin, remainingMs} = query;
-    const nested = this.nestedCallDetector.isNested(route, origin);
+    const nested =
+      this.prefersNested(query.service) &&
+      this.nestedCallDetector.isNested(route, origin);
     const prioritized = nested
       ? {...query, priority: 0, objectiveRemainingMs: remainingMs}
       : query;
@@ -200,7 +202,13 @@
   // get the highest priority and an objective that lasts until their deadline.
   private prioritizeNestedCall(req: AttemptRequest): AttemptRequest {
     const nested = this.nestedCallDetector.observe(req.route, req.origin);
-    return nested ? {...req, priority: 0, objective: req.deadline} : req;
+    return nested && this.prefersNested(req.service)
+      ? {...req, priority: 0, objective: req.deadline}
+      : req;
+  }
+
+  private prefersNested(service: string): boolean {
+    return !this.rules.get(service)?.disabled.includes('nestedCalls');
   }
 
   private register(req: AttemptRequest): ErrorKind | undefined {
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -175,7 +175,8 @@
     done: (outcome: LoadQueryOutcome) => void,
   ): void {
     const {sendLoadQuery, timers} = this.options;
-    if (sendLoadQuery === undefined) {
+    const {disabled} = router.currentRules;
+    if (sendLoadQuery === undefined || disabled.includes('loadQueries')) {
       done({type: 'notQueried'});
       return;
     }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -15,6 +15,7 @@
 import type {
   AdmissionEstimate,
   AdmissionQuery,
+  Mechanism,
   NodeAddress,
   ServiceRules,
 } from '@goldcresthill/types';
@@ -348,6 +349,8 @@
     const fingerprint = lazy(() =>
       fingerprintOf({service, method, path, body}),
     );
+    const {maxBufferedBytes, disabled} = router.currentRules;
+    const isOn = (mechanism: Mechanism) => !disabled.includes(mechanism);
     const attributes = {
       callId,
       service,
@@ -359,12 +362,11 @@
       maxRuns: head.maxRuns,
       route: head.route,
       origin: head.origin,
-      priority: head.priority,
+      priority: isOn('priorities') ? head.priority : 0,
       objective: startedAt + head.objectiveMs,
-      returning: head.returning,
+      returning: isOn('returningCallers') && head.returning,
     };
     const headers = this.options.callers.forwardedHeaders(req);
-    const {maxBufferedBytes} = router.currentRules;
     const call = {attributes, method, path, headers, body, maxBufferedBytes};
     // A load query asks this VM's gate too, which first checks how fast its server is now.
     if (this.options.sendLoadQuery === undefined)
--- a/packages/node/src/gateway/load_query_runner.ts
+++ b/packages/node/src/gateway/load_query_runner.ts
@@ -83,11 +83,17 @@
       const now = timers.now();
       if (estimate === undefined) router.markDown(view.id);
       else router.recordReport(now, view.id, estimate.report);
-      const accepts = estimate?.accepts ?? false;
+      const accepts =
+        estimate !== undefined && (estimate.accepts || !this.usesEstimates);
       this.execute(this.loadQuery.onAnswer(now, view, accepts));
     });
   }
 
+  private get usesEstimates(): boolean {
+    const {disabled} = this.options.router.currentRules;
+    return !disabled.includes('admissionEstimates');
+  }
+
   private admissionQuery(): AdmissionQuery {
     const {attributes, timers} = this.options;
     const {service, route, origin, priority, returning} = attributes;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -6,7 +6,7 @@
 import {TokenBucket} from '@goldcresthill/budgets';
 import type {NodeSettings} from '@goldcresthill/settings';
 import type {Timers} from '@goldcresthill/timers';
-import {InvariantError} from '@goldcresthill/types';
+import {InvariantError, withoutMechanisms} from '@goldcresthill/types';
 import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 import {DataListener} from '../gate/data_listener';
@@ -338,7 +338,14 @@
   }
 
   private onConfig(config: SidecarConfig, source: string): void {
-    const {version, routes, rules} = config;
+    const {version, routes} = config;
+    const {off} = this.options.settings.ablation;
+    const rules = new Map(
+      [...config.rules].map(([service, rule]) => [
+        service,
+        withoutMechanisms(rule, off),
+      ]),
+    );
     this.options.logger.info('configuration', {
       version,
       source,
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -7,6 +7,7 @@
 import type {NodeSettings} from '@goldcresthill/settings';
 import type {Configuration} from '@goldcresthill/tickets';
 import type {Timers} from '@goldcresthill/timers';
+import {withoutMechanisms} from '@goldcresthill/types';
 import type {
   NodeAddress,
   ServerRecord,
@@ -252,9 +253,11 @@
   private onConfiguration(configuration: Configuration, source: string): void {
     const {revision} = configuration;
     this.options.logger.info('configuration', {revision, source});
+    const {off} = this.options.settings.ablation;
     const rules = new Map<string, ServiceRules>();
     for (const [service, entry] of Object.entries(configuration.services)) {
-      if (entry.rules !== undefined) rules.set(service, entry.rules);
+      if (entry.rules === undefined) continue;
+      rules.set(service, withoutMechanisms(entry.rules, off));
     }
     this.gateway.post({type: 'configure', rules});
     this.gate.post({type: 'configure', rules});
--- a/packages/routing/src/policies.ts
+++ b/packages/routing/src/policies.ts
@@ -1,6 +1,6 @@
 /** Baseline routing policies, and the factory of all policies. */
-import type {PolicyName} from '@goldcresthill/types';
-import {ExpectedTimePolicy} from './expected_time';
+import type {PolicyName, ServiceRules} from '@goldcresthill/types';
+import {ALL_SCORING_FEATURES, ExpectedTimePolicy} from './expected_time';
 import {RoutingPolicy} from './routing_policy';
 import type {PolicyChoice, PolicyContext, Random} from './routing_policy';
 import type {ServerView} from './server_view';
@@ -90,7 +90,15 @@
   powerOfTwo: () => new PowerOfTwoPolicy(),
 };
 
-/** Creates the policy with this name. */
-export function createPolicy(name: PolicyName): RoutingPolicy {
-  return FACTORIES[name]();
+/** Creates the policy of a service's rules. */
+export function createPolicy({
+  policy,
+  disabled,
+}: Pick<ServiceRules, 'policy' | 'disabled'>): RoutingPolicy {
+  if (policy !== 'expectedTime') return FACTORIES[policy]();
+  return new ExpectedTimePolicy({
+    ...ALL_SCORING_FEATURES,
+    locality: !disabled.includes('locality'),
+    errors: !disabled.includes('errorPenalty'),
+  });
 }
--- a/packages/routing/src/service_router.ts
+++ b/packages/routing/src/service_router.ts
@@ -128,7 +128,7 @@
     private readonly options: RouterOptions,
   ) {
     this.rules = options.rules;
-    this.policy = options.policy ?? createPolicy(options.rules.policy);
+    this.policy = options.policy ?? createPolicy(options.rules);
     this.retryBudget = new WindowBudget(this.retryOptions);
     this.hedgeBudget = new WindowBudget(this.hedgeOptions);
     this.hedgeLatency = new LatencyQuantile(options.rules.hedgeQuantile);
@@ -139,8 +139,7 @@
   configure(now: Millis, rules: ServiceRules): void {
     const policyChanged = rules.policy !== this.rules.policy;
     this.rules = rules;
-    if (policyChanged)
-      this.policy = this.options.policy ?? createPolicy(rules.policy);
+    if (policyChanged) this.policy = this.options.policy ?? createPolicy(rules);
     this.retryBudget.configure(this.retryOptions);
     this.hedgeBudget.configure(this.hedgeOptions);
     this.hedgeLatency.configure(rules.hedgeQuantile);
@@ -357,7 +356,10 @@
     now: Millis,
     usable: readonly ServerView[],
   ): {candidates: readonly ServerView[]; panic: boolean} {
-    const healthy = usable.filter(view => !view.isSetAside(now));
+    const mayLeaveOut = !this.rules.disabled.includes('settingAside');
+    const healthy = usable.filter(
+      view => !mayLeaveOut || !view.isSetAside(now),
+    );
     const setAside = usable.length - healthy.length;
     const panic =
       setAside > usable.length * PANIC_SHARE || healthy.length === 0;
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -5,6 +5,7 @@
   fields,
   parseSections,
 } from '@goldcresthill/ini-document';
+import {MECHANISMS} from '@goldcresthill/types';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import * as z from 'zod';
@@ -64,6 +65,10 @@
   buffered_lines: fields.integer(1, 1_000_000).default(2_000),
 });
 
+const ablationSchema = z.object({
+  off: fields.words(MECHANISMS).default([]),
+});
+
 const SECTION_SCHEMAS = {
   node: nodeSchema,
   platform: platformSchema,
@@ -71,6 +76,7 @@
   callers: callersSchema,
   keys: keysSchema,
   logs: logsSchema,
+  ablation: ablationSchema,
 };
 
 /** Validated settings by section. */
--- a/packages/settings/src/settings_test.ts
+++ b/packages/settings/src/settings_test.ts
@@ -3,10 +3,23 @@
 import {parseSettings, SETTINGS_EXAMPLE} from './settings';
 
 describe('parseSettings', () => {
+  it('reads the mechanisms to switch off, and refuses unknown ones', () => {
+    const parse = (off: string) =>
+      parseSettings(`${SETTINGS_EXAMPLE}\n[ablation]\noff = ${off}\n`);
+    expect(parse('hedging, locality')._unsafeUnwrap().ablation.off).toEqual([
+      'hedging',
+      'locality',
+    ]);
+    expect(parse('hedging, luck').isErr()).toBe(true);
+  });
+
   it('fills in defaults', () => {
     expect(parseSettings(SETTINGS_EXAMPLE)._unsafeUnwrap())
       .toMatchInlineSnapshot(`
         {
+          "ablation": {
+            "off": [],
+          },
           "callers": {
             "buffered_bytes": 33554432,
             "header_bytes": 16384,
@@ -63,7 +76,7 @@
     const named = faulty.replace('stray = 1\n', '');
     expect(formatIssues(parseSettings(named)._unsafeUnwrapErr()))
       .toMatchInlineSnapshot(`
-        "[nodes]: no such section; there are node, platform, membership, callers, keys, logs
+        "[nodes]: no such section; there are node, platform, membership, callers, keys, logs, ablation
         [node] hots = 10.0.0.1: no such key; did you mean host?
         [node] id = vm 1: a name of letters, digits, dots, dashes or underscores
         [node] domain: a name of letters, digits, dots, dashes or underscores
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,4 +5,6 @@
 export {serverId} from './server';
 export {DEFAULT_SERVICE_RULES} from './service';
 export {InvariantError, invariant, invariantCount} from './invariant';
+export {MECHANISMS, withoutMechanisms} from './mechanism';
+export type {Mechanism} from './mechanism';
 export {expectedWorkTime} from './work_time';
--- a/packages/types/src/service.ts
+++ b/packages/types/src/service.ts
@@ -1,5 +1,7 @@
 /** Rules of a service, as change tickets set them. */
 
+import type {Mechanism} from './mechanism';
+
 /** Name of a routing policy. All but `expectedTime` are baselines for comparison. */
 export type PolicyName =
   'expectedTime' | 'random' | 'roundRobin' | 'leastReported' | 'powerOfTwo';
@@ -65,6 +67,8 @@
   readonly quarantineSeconds: number;
   /** Nodes whose server of this service is drained. */
   readonly drainNodes: readonly string[];
+  /** Mechanisms that are switched off for a measurement. */
+  readonly disabled: readonly Mechanism[];
 }
 
 /** Values of the keys that a ticket omits. */
@@ -99,4 +103,5 @@
   silenceMs: 250,
   quarantineSeconds: 60,
   drainNodes: [],
+  disabled: [],
 };
