Ignore the limit and leaving of another instance at a server's address

Cause: what an answer says of its server was read before the answer was found to be of another instance (421, or a load check that names another id), so that a server that had taken over an address could have had the limit of the old one's gate set, or it drained (LIMIT). Measured: the new test of server_link_test.ts fails on the code before (leaving and limit named), passes now.

--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -3,10 +3,10 @@
 import {invariant} from '@goldcresthill/types';
 import type {
   LoadReport,
+  Mechanism,
   Millis,
   ServerState,
   ServiceRules,
-  Mechanism,
 } from '@goldcresthill/types';
 import {AdaptiveLimit} from './adaptive_limit';
 import type {AdaptiveLimitOptions} from './adaptive_limit';
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -1,20 +1,18 @@
 /** Requests the load of the server of this VM on demand. */
+import type {IncomingHttpHeaders} from 'node:http';
 import {TokenBucket} from '@goldcresthill/budgets';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {Millis, ServiceRules} from '@goldcresthill/types';
 import type {ServerConnections} from './server_connections';
-import type {
-  ServerInterface,
-  ServerLoad,
-  ServerNotice,
-} from './server_interface';
+import type {ServerInterface, ServerLoad} from './server_interface';
 
 export interface LoadCheckerOptions {
   readonly timers: Timers;
   readonly connections: ServerConnections;
   readonly serverInterface: ServerInterface;
   readonly onLoad: (load: ServerLoad) => void;
-  readonly onNotice: (notice: ServerNotice) => void;
+  /** Receives the headers of an answer that may not contain the load. */
+  readonly onAnswer: (headers: IncomingHttpHeaders) => void;
   /** Counts a check towards the limit that the server names; false if it allows none now. */
   readonly takeCheck: () => boolean;
   /** Whether the server is in a slow period; these are short. */
@@ -123,7 +121,7 @@
   }
 
   private check(): void {
-    const {connections, serverInterface, timers, onLoad, onNotice} =
+    const {connections, serverInterface, timers, onLoad, onAnswer} =
       this.options;
     this.checking = true;
     connections.fetchLoad(this.path, result => {
@@ -132,8 +130,7 @@
         result.type === 'broke'
           ? undefined
           : serverInterface.loadOf(result.headers);
-      if (result.type === 'answer')
-        onNotice(serverInterface.noticeOf(result.headers));
+      if (result.type === 'answer') onAnswer(result.headers);
       if (load !== undefined) {
         onLoad(load);
         return;
--- a/packages/node/src/gate/server_interface.ts
+++ b/packages/node/src/gate/server_interface.ts
@@ -46,8 +46,11 @@
   ): AnswerClass;
   /** Returns the load contained in an answer, if there is one. */
   abstract loadOf(headers: IncomingHttpHeaders): ServerLoad | undefined;
-  /** Returns what an answer says of the server beside its load. */
-  abstract noticeOf(headers: IncomingHttpHeaders): ServerNotice;
+  /** Returns what an answer says of the server beside its load; undefined if another instance has sent it. */
+  abstract noticeOf(
+    headers: IncomingHttpHeaders,
+    instance: string,
+  ): ServerNotice | undefined;
 }
 
 /** The default interface, with headers that begin with `gh-`. */
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -1,4 +1,5 @@
 /** Link to one server of this VM: its gate, its connections and its requests. */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {Gate} from '@goldcresthill/gate';
 import type {GateCommand, RequestOutcome} from '@goldcresthill/gate';
@@ -17,11 +18,7 @@
 import {LoadChecker} from './load_checker';
 import type {Announcement, AttemptRequest, AttemptResult} from './messages';
 import type {ServerConnections, ServerExchange} from './server_connections';
-import type {
-  ServerInterface,
-  ServerLoad,
-  ServerNotice,
-} from './server_interface';
+import type {ServerInterface, ServerLoad} from './server_interface';
 import {refusalKind, requestOutcome} from './server_refusals';
 
 /** Events of a link. */
@@ -112,7 +109,7 @@
       connections,
       serverInterface,
       onLoad: load => this.recordLoad(load),
-      onNotice: notice => this.recordNotice(notice, 'loadCheck'),
+      onAnswer: headers => this.readNotice(headers, 'loadCheck'),
       takeCheck: () => this.gate.takeLoadCheck(timers.now()),
       isSlow: () => this.gate.isSlow,
       isHolding: () => this.gate.isHolding,
@@ -331,8 +328,6 @@
     const {status, headers, body} = result;
     const load = this.options.serverInterface.loadOf(headers);
     if (load !== undefined) this.recordLoad(load);
-    const notice = this.options.serverInterface.noticeOf(headers);
-    this.recordNotice(notice, 'answer');
     const {req} = entry;
     const answerClass = this.options.serverInterface.classifyAnswer(
       req,
@@ -340,6 +335,7 @@
       headers,
       this.rules,
     );
+    if (answerClass !== 'otherInstance') this.readNotice(headers, 'answer');
     const kind = refusalKind(answerClass, load);
     // A streamed answer occupies its slot until its end.
     if (body.type === 'whole') this.release(ref, requestOutcome(kind, status));
@@ -350,10 +346,14 @@
     this.reportResult(entry, {type: 'answered', status, headers, body});
   }
 
-  private recordNotice(
-    {requestsPerSecond, leaving}: ServerNotice,
+  private readNotice(
+    headers: IncomingHttpHeaders,
     source: 'answer' | 'loadCheck',
   ): void {
+    const {serverInterface} = this.options;
+    const notice = serverInterface.noticeOf(headers, this.instance);
+    if (notice === undefined) return;
+    const {requestsPerSecond, leaving} = notice;
     if (leaving && !this.leaving) this.options.events.onLeaving(this);
     if (requestsPerSecond === this.gate.namedRate) return;
     this.options.events.onLimitNamed(this, requestsPerSecond, source);
--- a/packages/node/src/gate/server_link_test.ts
+++ b/packages/node/src/gate/server_link_test.ts
@@ -6,11 +6,13 @@
 import {ServerConnections} from './server_connections';
 import type {ServerExchange} from './server_connections';
 import {OwnServerInterface} from './server_interface';
+import type {AnswerClass, ServerNotice} from './server_interface';
 import {ServerLink} from './server_link';
 
 /** Connections that are established, and exchanges that are answered, on request. */
 class ManualConnections extends ServerConnections {
   connected = false;
+  answer: (ExchangeResult & {type: 'answer'}) | undefined;
   aborts = 0;
 
   override exchange(
@@ -18,6 +20,7 @@
     done: (result: ExchangeResult) => void,
   ): ServerExchange {
     const isSent = this.connected;
+    if (this.answer !== undefined) done(this.answer);
     return {
       isSent,
       abort: reason => {
@@ -36,10 +39,22 @@
   override async close(): Promise<void> {}
 }
 
+/** Answers come from another instance, which is leaving and limits its requests. */
+class OtherInstanceInterface extends OwnServerInterface {
+  override classifyAnswer(): AnswerClass {
+    return 'otherInstance';
+  }
+
+  override noticeOf(): ServerNotice {
+    return {requestsPerSecond: 1, leaving: true};
+  }
+}
+
 let connections: ManualConnections;
 let link: ServerLink;
 let clock: VirtualClock;
 let events: string[];
+let serverInterface: OwnServerInterface;
 
 function request(once: boolean): AttemptRequest {
   return {
@@ -63,7 +78,7 @@
   };
 }
 
-beforeEach(() => {
+function openLink(): void {
   clock = new VirtualClock();
   connections = new ManualConnections();
   events = [];
@@ -78,18 +93,23 @@
     rules: {...DEFAULT_SERVICE_RULES, warmUpMs: 0},
     timers: new VirtualTimers(clock),
     connections,
-    serverInterface: new OwnServerInterface(),
+    serverInterface,
     events: {
       onStart: () => undefined,
       onEnd: (_req, result) =>
         events.push(`${result.type} ${'kind' in result && result.kind}`),
       onCancelled: (_req, {state}) => events.push(`cancelled ${state}`),
-      onLeaving: () => undefined,
-      onLimitNamed: () => undefined,
+      onLeaving: () => events.push('leaving'),
+      onLimitNamed: () => events.push('limit named'),
       onDied: () => events.push('died'),
       onDrained: () => undefined,
     },
   });
+}
+
+beforeEach(() => {
+  serverInterface = new OwnServerInterface();
+  openLink();
 });
 
 describe('ServerLink', () => {
@@ -111,6 +131,21 @@
     expect(connections.aborts).toBe(0);
   });
 
+  // The address of a server may belong to another one, whose limit and leaving say nothing of the first.
+  it('ignores what another instance at the address of its server says of itself', () => {
+    serverInterface = new OtherInstanceInterface();
+    openLink();
+    connections.answer = {
+      type: 'answer',
+      status: 421,
+      headers: {},
+      body: {type: 'whole', bytes: Buffer.alloc(0)},
+    };
+    link.attempt(request(true));
+    expect(events).not.toContain('leaving');
+    expect(events).not.toContain('limit named');
+  });
+
   // A request that no server has received may be said not to have run.
   it('refuses a request whose deadline passes while it waits for a connection', () => {
     link.attempt(request(true));
--- a/packages/node/src/http/dispatch_queue.ts
+++ b/packages/node/src/http/dispatch_queue.ts
@@ -39,7 +39,7 @@
     this.schedule();
   }
 
-  /** Drops nothing, but dispatches nothing any more. */
+  /** Stops dispatching; requests still queued end with their connections. */
   close(): void {
     this.closed = true;
   }
@@ -59,12 +59,12 @@
       const [first] = this.waiting;
       if (first === undefined || first.turn > this.turn) break;
       this.waiting.shift();
-      this.handOn(first.request);
+      this.dispatchOrDrop(first.request);
     } while (performance.now() < endAt);
     if (this.waiting.length > 0) this.schedule();
   }
 
-  private handOn({req, dispatch, drop}: ReceivedRequest): void {
+  private dispatchOrDrop({req, dispatch, drop}: ReceivedRequest): void {
     const {socket} = req;
     const isConnected = !socket.destroyed && !socket.readableEnded;
     if (isConnected) dispatch();
