--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -58,6 +58,7 @@
       host,
       port,
       maxHeaderBytes: 65_536,
+      onConnection: () => options.dispatchQueue.recordConnection(),
       handle: (req, res) => this.handle(req, res),
     });
   }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -129,6 +129,7 @@
       maxConnections: options.maxConnections,
       maxHeaderBytes: options.headerBytes,
       headersTimeoutMs: options.slowSenderMs,
+      onConnection: () => options.dispatchQueue.recordConnection(),
       handle: (req, res) => this.receive(req, res),
     });
     this.cancelEviction = this.timers.every(EVICT_INTERVAL_MS, () =>
--- a/packages/node/src/http/dispatch_queue.ts
+++ b/packages/node/src/http/dispatch_queue.ts
@@ -1,5 +1,6 @@
 /** Hands requests on once it is known that their senders are still connected. */
 import type {IncomingMessage} from 'node:http';
+import type {Millis} from '@goldcresthill/types';
 
 /** A request that has been received completely. */
 export interface ReceivedRequest {
@@ -14,6 +15,8 @@
 const TURNS_TO_READ_CLOSE = 2;
 /** Longest time for which one turn dispatches before the sockets are read again, milliseconds. */
 const MAX_TURN_MS = 5;
+/** Longest time for which connections are accepted before requests are dispatched again, milliseconds. */
+const MAX_ACCEPTING_MS = 20;
 
 interface Waiting {
   readonly request: ReceivedRequest;
@@ -31,14 +34,25 @@
   private readonly waiting: Waiting[] = [];
   private turn = 0;
   private isScheduled = false;
+  private hasAccepted = false;
+  /** Since when each turn has accepted a connection. */
+  private acceptingSince: Millis | undefined;
   private closed = false;
 
+  /** `now` returns the monotonic time. */
+  constructor(private readonly now: () => Millis = () => performance.now()) {}
+
   /** Queues a request. */
   add(request: ReceivedRequest): void {
     this.waiting.push({request, turn: this.turn + TURNS_TO_READ_CLOSE});
     this.schedule();
   }
 
+  /** Records that a listener has accepted a connection. More may wait, as Node.js accepts one in each turn. */
+  recordConnection(): void {
+    this.hasAccepted = true;
+  }
+
   /** Stops dispatching; requests still queued end with their connections. */
   close(): void {
     this.closed = true;
@@ -54,14 +68,29 @@
     this.isScheduled = false;
     if (this.closed) return;
     this.turn++;
-    const endAt = performance.now() + MAX_TURN_MS;
+    if (this.mayDispatch()) this.dispatch();
+    if (this.waiting.length > 0) this.schedule();
+  }
+
+  // Requests on connections that are not accepted yet may be older than those that wait here.
+  private mayDispatch(): boolean {
+    if (this.hasAccepted) this.acceptingSince ??= this.now();
+    else this.acceptingSince = undefined;
+    this.hasAccepted = false;
+    if (this.acceptingSince === undefined) return true;
+    if (this.now() - this.acceptingSince <= MAX_ACCEPTING_MS) return false;
+    this.acceptingSince = undefined;
+    return true;
+  }
+
+  private dispatch(): void {
+    const endAt = this.now() + MAX_TURN_MS;
     do {
       const [first] = this.waiting;
       if (first === undefined || first.turn > this.turn) break;
       this.waiting.shift();
       this.dispatchOrDrop(first.request);
-    } while (performance.now() < endAt);
-    if (this.waiting.length > 0) this.schedule();
+    } while (this.now() < endAt);
   }
 
   private dispatchOrDrop({req, dispatch, drop}: ReceivedRequest): void {
--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -13,6 +13,8 @@
   readonly port: number;
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
   readonly maxConnections?: number;
+  /** Called for each accepted connection. */
+  readonly onConnection?: () => void;
   readonly maxHeaderBytes?: number;
   /** Maximum time to receive the headers of a request, milliseconds, checked at intervals of a third of it. */
   readonly headersTimeoutMs?: number;
@@ -53,7 +55,10 @@
         options.handle(req, res);
       },
     );
-    this.server.on('connection', socket => this.closeResponsesWith(socket));
+    this.server.on('connection', socket => {
+      this.closeResponsesWith(socket);
+      options.onConnection?.();
+    });
     this.server.maxConnections =
       options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
