--- a/packages/types/src/mechanism.ts
+++ b/packages/types/src/mechanism.ts
@@ -37,12 +37,11 @@
 
 const ALL_SLOTS_PERCENT = 100;
 
-/** Returns the rules with mechanisms switched off. */
+/** Returns the rules of a configuration, which knows no switches, with mechanisms switched off. */
 export function withoutMechanisms(
-  rules: ServiceRules,
+  rules: Omit<ServiceRules, 'disabled'>,
   disabled: readonly Mechanism[],
 ): ServiceRules {
-  if (disabled.length === 0) return rules;
   return {
     ...rules,
     disabled,
