--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -183,23 +183,23 @@
     return this.appendDrained(this.startQueued(now));
   }
 
-  /** Applies the limit that the server names, requests per second; undefined if it names none. */
+  /** Applies the rate limit that the server advertises, requests per second; undefined if it advertises none. */
   limitRate(now: Millis, perSecond: number | undefined): GateCommand[] {
     this.rateLimit.configure(now, perSecond);
     return this.appendDrained(this.startQueued(now));
   }
 
-  /** The limit that the server names, requests per second; undefined if it names none. */
-  get namedRate(): number | undefined {
+  /** The rate limit that the server advertises, requests per second; undefined if it advertises none. */
+  get advertisedRate(): number | undefined {
     return this.rateLimit.rate;
   }
 
-  /** Counts a load check of the server; returns false if its limit does not allow one now. */
+  /** Counts a load check of the server; returns false if its rate limit does not allow one now. */
   takeLoadCheck(now: Millis): boolean {
     return this.rateLimit.takeCheck(now);
   }
 
-  /** Time until the server's limit allows the next request, milliseconds. */
+  /** Time until the server's rate limit allows the next request, milliseconds. */
   rateWaitMs(now: Millis): Millis {
     return this.rateLimit.waitMs(now, 0);
   }
@@ -383,7 +383,7 @@
     invariant(
       isWithinRate,
       'gate.rate',
-      () => 'started a request above the limit that the server names',
+      () => 'started a request above the rate limit of the server',
     );
     this.forecast.start(now, req.ref, req);
     if (req.suspect) this.suspectCount++;
--- a/packages/gate/src/request_rate_limit.ts
+++ b/packages/gate/src/request_rate_limit.ts
@@ -1,22 +1,22 @@
-/** Limit on the requests per second to a server, as the server itself names it while it is in need. */
+/** Rate limit that a server advertises in its answers. */
 import {TokenBucket} from '@goldcresthill/budgets';
 import type {Millis} from '@goldcresthill/types';
 
-/** Requests that may follow each other at once, as the requests of this time. */
+/** Burst, as the requests that the rate allows in this time. */
 const BURST_SECONDS = 0.5;
-/** Lowest rate that is kept, requests per second: a server that takes none is asked again, as only its answers end a limit. */
+/** Lowest rate, requests per second. A server that advertises 0 still gets a request now and then, as only its answers end the limit. */
 const MIN_PER_SECOND = 0.25;
 /** Load checks per second while a limit is in force; each counts towards the limit. */
 const CHECKS_PER_SECOND = 1;
 const MILLIS_PER_SECOND = 1_000;
 
-/** Grants at most `rate × time + max(1, rate / 2)` requests over any time during which the server names the same rate. */
+/** Grants at most `rate × time + max(1, rate / 2)` requests over any time during which the server advertises the same rate. */
 export class RequestRateLimit {
   private bucket: TokenBucket | undefined;
   private perSecond: number | undefined;
   private checkedAt: Millis = -Infinity;
 
-  /** Applies the rate that the server names, requests per second; undefined ends the limit. */
+  /** Applies the rate that the server advertises, requests per second; undefined ends the limit. */
   configure(now: Millis, perSecond: number | undefined): void {
     if (perSecond === this.perSecond) return;
     this.perSecond = perSecond;
@@ -30,7 +30,7 @@
     else this.bucket.configure(now, options);
   }
 
-  /** Requests per second, as named by the server; undefined without a limit. */
+  /** Requests per second, as advertised by the server; undefined without a limit. */
   get rate(): number | undefined {
     return this.perSecond;
   }
--- a/packages/gate/src/request_rate_limit_test.ts
+++ b/packages/gate/src/request_rate_limit_test.ts
@@ -5,7 +5,7 @@
 
 const RULES = {...DEFAULT_SERVICE_RULES, warmUpMs: 0, queuePerSlot: 2};
 const SLOTS = 20;
-/** Requests that a server may get in any window after it has named a rate: one and a half times the rate, and 5 more. */
+/** Requests that a server may get in any window after it has advertised a rate: one and a half times the rate, and 5 more. */
 const WINDOW_MS = 4_000;
 const maxArrivals = (rate: number) => 1.5 * rate * (WINDOW_MS / 1_000) + 5;
 const QUEUE_CHECK_MS = 100;
@@ -78,8 +78,8 @@
   }
 }
 
-describe('a server that names a limit on its requests per second', () => {
-  // Slots hold back work by its length, so short requests passed far above the rate that the server named.
+describe('a server that advertises a rate limit', () => {
+  // Slots hold back work by its length, so short requests passed far above the rate that the server advertised.
   it('gets no more than the limit allows in any window, however short its work', () => {
     const server = new LimitedServer(20);
     for (let now = 0; now < 30_000; now += QUEUE_CHECK_MS) {
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -341,7 +341,7 @@
           this.markLeft(instance);
           this.options.events.onServerLeaving(instance);
         },
-        onLimitNamed: ({service, instance}, requestsPerSecond, source) =>
+        onRateLimitChanged: ({service, instance}, requestsPerSecond, source) =>
           this.options.events.onDecision({
             what: 'serverLimit',
             service,
--- a/packages/node/src/gate/load_checker.ts
+++ b/packages/node/src/gate/load_checker.ts
@@ -13,7 +13,7 @@
   readonly onLoad: (load: ServerLoad) => void;
   /** Receives the headers of an answer that may not contain the load. */
   readonly onAnswer: (headers: IncomingHttpHeaders) => void;
-  /** Counts a check towards the limit that the server names; false if it allows none now. */
+  /** Counts a check towards the server's rate limit; false if it allows none now. */
   readonly takeCheck: () => boolean;
   /** Whether the server is in a slow period; these are short. */
   readonly isSlow: () => boolean;
@@ -58,7 +58,7 @@
     const perSecond = loadChecksPerSecond * CHECK_RATE_SHARE;
     const burst = Math.min(2, perSecond);
     this.bucket.configure(this.options.timers.now(), {perSecond, burst});
-    // A server that is leaving or limits its requests says so in its first answer.
+    // The first answer shows whether the server is leaving or advertises a rate limit.
     if (isFirst) this.refresh(() => undefined);
   }
 
--- a/packages/node/src/gate/server_interface.ts
+++ b/packages/node/src/gate/server_interface.ts
@@ -23,7 +23,7 @@
 
 /** What a server says of itself in its answers beside its load. */
 export interface ServerNotice {
-  /** Requests per second that the server takes from all VMs together; undefined if it names no limit. */
+  /** Rate limit that the server advertises for all VMs together; undefined if it advertises none. */
   readonly requestsPerSecond: number | undefined;
   /** Whether the server is about to shut down. */
   readonly leaving: boolean;
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -30,8 +30,8 @@
   readonly onCancelled: (req: AttemptRequest, cancelled: Cancelled) => void;
   /** The server says in an answer that it is about to shut down. */
   readonly onLeaving: (link: ServerLink) => void;
-  /** The server names another limit than before, requests per second, or none any more. */
-  readonly onLimitNamed: (
+  /** The server advertises another rate limit than before, requests per second, or none any more. */
+  readonly onRateLimitChanged: (
     link: ServerLink,
     requestsPerSecond: number | undefined,
     source: 'answer' | 'loadCheck',
@@ -224,7 +224,7 @@
     return this.gate.hasQueued;
   }
 
-  /** Time until the limit that the server names allows the next request, milliseconds. */
+  /** Time until the server's rate limit allows the next request, milliseconds. */
   get rateWaitMs(): Millis {
     return this.gate.rateWaitMs(this.options.timers.now());
   }
@@ -355,8 +355,8 @@
     if (notice === undefined) return;
     const {requestsPerSecond, leaving} = notice;
     if (leaving && !this.leaving) this.options.events.onLeaving(this);
-    if (requestsPerSecond === this.gate.namedRate) return;
-    this.options.events.onLimitNamed(this, requestsPerSecond, source);
+    if (requestsPerSecond === this.gate.advertisedRate) return;
+    this.options.events.onRateLimitChanged(this, requestsPerSecond, source);
     this.execute(
       this.gate.limitRate(this.options.timers.now(), requestsPerSecond),
     );
--- a/packages/node/src/gate/server_link_test.ts
+++ b/packages/node/src/gate/server_link_test.ts
@@ -100,7 +100,7 @@
         events.push(`${result.type} ${'kind' in result && result.kind}`),
       onCancelled: (_req, {state}) => events.push(`cancelled ${state}`),
       onLeaving: () => events.push('leaving'),
-      onLimitNamed: () => events.push('limit named'),
+      onRateLimitChanged: () => events.push('rate limit'),
       onDied: () => events.push('died'),
       onDrained: () => undefined,
     },
@@ -143,7 +143,7 @@
     };
     link.attempt(request(true));
     expect(events).not.toContain('leaving');
-    expect(events).not.toContain('limit named');
+    expect(events).not.toContain('rate limit');
   });
 
   // A request that no server has received may be said not to have run.
--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -30,9 +30,9 @@
   returnsWrongAttemptId = false;
   /** Slowdown that the load header reports, percent. */
   slowdownPercent = NORMAL_SLOWDOWN_PERCENT;
-  /** If true, answers say that the server is about to shut down. */
+  /** If true, answers announce that the server is about to shut down. */
   saysLeaving = false;
-  /** Requests per second that answers name as the server's limit. */
+  /** Rate limit that answers advertise, requests per second. */
   requestsPerSecond: number | undefined;
   readonly startedAtMs: number;
   private readonly server: Server;
