Test: servers of the rate limit test keep reporting, as servers on the platform do (LIMIT)

Nodes remove a server without a report for six heartbeats (9 s), so 9.9 s after the start all three nodes log 'servers []' and answer 'noServer' 4,605 times until the test gives up.

--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -38,6 +38,7 @@
   private readonly server: Server;
   private inFlight = 0;
   private sequence = 0;
+  private heartbeat: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: SidecarServerOptions) {
     this.startedAtMs = options.startedAtMs ?? Date.now();
@@ -73,6 +74,14 @@
     return res.statusCode;
   }
 
+  /** Reports `ready` at this interval until the server is closed. */
+  startHeartbeat(intervalMs: number): void {
+    this.heartbeat = setInterval(() => {
+      // A node that restarts misses reports.
+      this.reportLiveness('ready').catch(() => undefined);
+    }, intervalMs);
+  }
+
   /** Deregisters the instance and returns the HTTP status. */
   async deregister(): Promise<number> {
     const {id, controlAddress} = this.options;
@@ -83,6 +92,7 @@
   }
 
   async close(): Promise<void> {
+    clearInterval(this.heartbeat);
     this.server.closeAllConnections();
     await new Promise(done => this.server.close(done));
   }
