Report a free slot while a server's rate limit lets a request start (LIMIT)

Load queries found a limited gate ready to admit 2,500 of 3,137 times, with a token in the bucket in 1,922 of these, but 217 attempts were sent to it.

Cause: the gate reported as many slots as the rate fills on average (often 1), so with two requests running it looked full to gateways though its bucket held three tokens, and looked free with no token and nothing running.

Change: it reports the requests in flight plus those that its bucket can start now.

--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -61,7 +61,6 @@
   | {readonly type: 'drained'};
 
 const PERCENT = 100;
-const MICROS_PER_SECOND = 1_000_000;
 /** Reference of a request that no queue contains. */
 const UNREGISTERED_REF = -1;
 /** Fraction of the remaining time that a request may wait at one gate. */
@@ -237,14 +236,10 @@
     return this.forecast.inFlight;
   }
 
-  // A rate allows as many requests at once as it starts in the time that one takes.
+  // Gateways take a server for full whose report shows no free slot, and for free if it shows one.
   private reportedLimit(now: Millis): number {
     const limit = this.limit.current(now);
-    const rate = this.rateLimit.rate;
-    if (rate === undefined) return limit;
-    const {serviceUs, slowdown} = this.forecast.reportFields(now);
-    const concurrent = (rate * serviceUs * slowdown) / MICROS_PER_SECOND;
-    return Math.max(1, Math.min(limit, Math.round(concurrent)));
+    return Math.min(limit, this.inFlight + this.rateLimit.startable(now));
   }
 
   private startQueued(now: Millis): GateCommand[] {
@@ -369,7 +364,8 @@
 
   private hasSlot(now: Millis): boolean {
     return (
-      this.inFlight < this.limit.current(now) && this.rateLimit.isOpen(now)
+      this.inFlight < this.limit.current(now) &&
+      this.rateLimit.startable(now) > 0
     );
   }
 
--- a/packages/gate/src/request_rate_limit.ts
+++ b/packages/gate/src/request_rate_limit.ts
@@ -35,9 +35,10 @@
     return this.perSecond;
   }
 
-  /** Whether a request may start now. */
-  isOpen(now: Millis): boolean {
-    return this.bucket === undefined || this.bucket.available(now) >= 1;
+  /** Requests that may start now; infinite without a limit. */
+  startable(now: Millis): number {
+    if (this.bucket === undefined) return Infinity;
+    return Math.floor(this.bucket.available(now));
   }
 
   /** Counts a request that starts; returns false if none may. */
