Check the load of a server with a rate limit out of what requests leave (LIMIT)

Cause: load checks took one token a second from limits of 6 to 16 a second also while answers brought the load anyway, and came no more often while the bucket was full, so a gate held requests for up to a second after a slow period had ended.

Change: a check leaves half of the burst to requests; it may take the last token only if neither a request nor a check was sent for a second. What reaches the server stays within the same bucket (property test over changing limits). The test fails on the code before (20 checks in 20 s of rest, 60 expected), and with no share left to requests.

--- a/packages/gate/src/request_rate_limit.ts
+++ b/packages/gate/src/request_rate_limit.ts
@@ -6,15 +6,17 @@
 const BURST_SECONDS = 0.5;
 /** Lowest rate, requests per second. A server that advertises 0 still gets a request now and then, as only its answers end the limit. */
 const MIN_PER_SECOND = 0.25;
-/** Load checks per second while a limit is in force; each counts towards the limit. */
-const CHECKS_PER_SECOND = 1;
-const MILLIS_PER_SECOND = 1_000;
+/** Time without a request or load check after which a check may take the last token, milliseconds. */
+const MAX_CHECK_INTERVAL_MS = 1_000;
+/** Share of the burst that checks leave to requests until then. */
+const CHECK_RESERVE_SHARE = 0.5;
 
 /** Grants at most `rate × time + max(1, rate / 2)` requests over any time during which the server advertises the same rate. */
 export class RequestRateLimit {
   private bucket: TokenBucket | undefined;
   private perSecond: number | undefined;
-  private checkedAt: Millis = -Infinity;
+  private burst = 0;
+  private sentAt: Millis = -Infinity;
 
   /** Applies the rate that the server advertises, requests per second; undefined ends the limit. */
   configure(now: Millis, perSecond: number | undefined): void {
@@ -25,7 +27,8 @@
       return;
     }
     const rate = Math.max(MIN_PER_SECOND, perSecond);
-    const options = {perSecond: rate, burst: Math.max(1, rate * BURST_SECONDS)};
+    this.burst = Math.max(1, rate * BURST_SECONDS);
+    const options = {perSecond: rate, burst: this.burst};
     if (this.bucket === undefined) this.bucket = new TokenBucket(now, options);
     else this.bucket.configure(now, options);
   }
@@ -43,17 +46,20 @@
 
   /** Counts a request that starts; returns false if none may. */
   take(now: Millis): boolean {
-    return this.bucket === undefined || this.bucket.take(now);
+    if (this.bucket === undefined) return true;
+    if (!this.bucket.take(now)) return false;
+    this.sentAt = now;
+    return true;
   }
 
   /** Counts a load check, which reaches the server like a request; returns false if it may not be sent now. */
   takeCheck(now: Millis): boolean {
     if (this.bucket === undefined) return true;
-    if (now - this.checkedAt < MILLIS_PER_SECOND / CHECKS_PER_SECOND)
-      return false;
-    if (!this.bucket.take(now)) return false;
-    this.checkedAt = now;
-    return true;
+    const reserve =
+      now - this.sentAt < MAX_CHECK_INTERVAL_MS
+        ? this.burst * CHECK_RESERVE_SHARE
+        : 0;
+    return this.bucket.available(now) - 1 >= reserve && this.take(now);
   }
 
   /** Time until a request may start that has `ahead` others before it. */
--- a/packages/gate/src/request_rate_limit_test.ts
+++ b/packages/gate/src/request_rate_limit_test.ts
@@ -14,21 +14,26 @@
 class LimitedServer {
   readonly gate = new Gate(0, {slots: SLOTS, rules: RULES});
   readonly arrivals: number[] = [];
+  /** Load checks among the arrivals. */
+  checks = 0;
   readonly refused: number[] = [];
   private readonly running: Array<{ref: number; endsAt: number}> = [];
   private ref = 0;
 
   constructor(private readonly serviceMs: number) {}
 
-  /** Advances to a time and sends a number of requests. */
+  /** Advances to a time, checks the load if allowed and sends a number of requests. */
   step(now: number, requests: number): void {
     while ((this.running[0]?.endsAt ?? Infinity) <= now) {
       const {ref = 0} = this.running.shift() ?? {};
       this.execute(now, this.gate.finish(now, ref, 'ok'));
     }
     this.execute(now, this.gate.advance(now));
+    if (this.gate.takeLoadCheck(now)) {
+      this.checks++;
+      this.arrivals.push(now);
+    }
     for (let i = 0; i < requests; i++) this.send(now);
-    if (this.gate.takeLoadCheck(now)) this.arrivals.push(now);
   }
 
   limitRate(now: number, rate: number | undefined): void {
@@ -152,6 +157,17 @@
     expect(server.arrivals.length).toBeGreaterThanOrEqual(length + 10);
   });
 
+  // Checked once a second only, a limited server got no requests for up to a second after a slow period.
+  it('gets load checks as its limit allows, which leave room for requests', () => {
+    const server = new LimitedServer(20);
+    server.limitRate(0, 8);
+    for (let now = 0; now < 20_000; now += QUEUE_CHECK_MS) server.step(now, 0);
+    expect(server.checks).toBeGreaterThanOrEqual(3 * 20);
+    expect(server.mostInWindow(0)).toBeLessThanOrEqual(maxArrivals(8));
+    server.step(20_000, 2);
+    expect(server.gate.inFlight).toBe(2);
+  });
+
   // Gateways took a limited server for full though its limit let requests start, and callers were refused.
   it('reports a free slot exactly while a request may start', () => {
     const step = fc.record({
