Exchange control messages between nodes over HTTP/1.1

Cause, from the stuck process (a node of the test fleet could be stuck the same way): the native stack is Http2Stream::RstStream, SubmitRstStream, SendPendingData, nghttp2_session_mem_send; 9.2 GB of memory hold the frame 00 00 00 00 00 00 00 00 13, an empty DATA frame of stream 19 without its end, over and over. connect-es resets the stream of a call that times out, and Node.js 20.19 sends what is pending first, which never ends. A node in that state serves nothing and grows until it is killed. Which state of the stream leads there was not traced further; with our code only cancelled calls do it.

Change: the control client and server of connect-es use HTTP/1.1, as calls between nodes do, so no HTTP/2 runs in a node. A connection has one request at a time, and a call that times out closes its own.

--- a/packages/node/src/member/control_links.ts
+++ b/packages/node/src/member/control_links.ts
@@ -1,10 +1,8 @@
-/** Persistent control connections to a few other nodes, by connect-es over HTTP/2. */
+/** Persistent control connections to a few other nodes, by connect-es over HTTP/1.1. */
+import {Agent} from 'node:http';
 import {createClient} from '@connectrpc/connect';
 import type {Client} from '@connectrpc/connect';
-import {
-  createConnectTransport,
-  Http2SessionManager,
-} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
 import type {ExchangeMessage} from '@goldcresthill/membership';
 import {Control, decodeExchange, encodeExchange} from '@goldcresthill/protocol';
 import type {NodeAddress} from '@goldcresthill/types';
@@ -13,15 +11,13 @@
 
 interface Link {
   readonly bootId: number;
-  readonly sessionManager: Http2SessionManager;
+  readonly agent: Agent;
   readonly client: Client<typeof Control>;
 }
 
 /** Timeout of a request to a peer, milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 500;
 const IDLE_TIMEOUT_MS = 30_000;
-const PING_INTERVAL_MS = 5_000;
-const PING_TIMEOUT_MS = 1_000;
 
 /** Opens connections on first use and closes them when idle. */
 export class ControlLinks extends PeerLinks {
@@ -69,29 +65,22 @@
       return existing;
     this.drop(to.nodeId);
     const baseUrl = `http://${to.host}:${to.controlPort}`;
-    const sessionManager = new Http2SessionManager(baseUrl, {
-      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
-      pingIntervalMs: PING_INTERVAL_MS,
-      pingTimeoutMs: PING_TIMEOUT_MS,
-    });
+    const agent = new Agent({keepAlive: true, timeout: IDLE_TIMEOUT_MS});
     const transport = createConnectTransport({
       baseUrl,
-      httpVersion: '2',
+      httpVersion: '1.1',
       useBinaryFormat: true,
-      sessionManager,
+      nodeOptions: {agent},
     });
-    const link = {
-      bootId: to.bootId,
-      sessionManager,
-      client: createClient(Control, transport),
-    };
+    const client = createClient(Control, transport);
+    const link = {bootId: to.bootId, agent, client};
     this.links.set(to.nodeId, link);
     return link;
   }
 
   // A connection may be dead without having been closed, so the next message after a failure opens a new one.
   private drop(nodeId: string): void {
-    this.links.get(nodeId)?.sessionManager.abort();
+    this.links.get(nodeId)?.agent.destroy();
     this.links.delete(nodeId);
   }
 }
--- a/packages/node/src/member/control_listener.ts
+++ b/packages/node/src/member/control_listener.ts
@@ -1,6 +1,6 @@
 /** Server for the control messages of other nodes. */
-import {createServer} from 'node:http2';
-import type {Http2Server, ServerHttp2Session} from 'node:http2';
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {Code, ConnectError} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
@@ -17,11 +17,12 @@
 }
 
 const MAX_MESSAGE_BYTES = 1_048_576;
+/** Longer than other nodes keep an idle connection, so that none is closed while they send on it, milliseconds. */
+const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
-/** Serves the Control service over HTTP/2 without TLS. */
+/** Serves the Control service over HTTP/1.1 without TLS. */
 export class ControlListener {
-  private readonly server: Http2Server;
-  private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly server: Server;
 
   constructor(private readonly options: ControlListenerOptions) {
     const adapter = connectNodeAdapter({
@@ -43,12 +44,10 @@
           }),
         }),
     });
-    this.server = createServer(adapter);
-    this.server.on('session', session => {
-      this.sessions.add(session);
-      session.on('close', () => this.sessions.delete(session));
-      session.on('error', () => session.destroy());
-    });
+    this.server = createServer(
+      {keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS},
+      adapter,
+    );
   }
 
   /** Starts to listen; resolves to the port. */
@@ -64,7 +63,7 @@
   /** Closes the port and destroys open connections. */
   async close(): Promise<void> {
     const closed = new Promise(resolve => this.server.close(resolve));
-    this.sessions.forEach(session => session.destroy());
+    this.server.closeAllConnections();
     await closed;
   }
 }
