--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -34,6 +34,8 @@
   saysLeaving = false;
   /** Rate limit that answers advertise, requests per second. */
   requestsPerSecond: number | undefined;
+  /** Time that a request takes, milliseconds; as in the options at first. */
+  serviceMs: number;
   readonly startedAtMs: number;
   private readonly server: Server;
   private inFlight = 0;
@@ -41,6 +43,7 @@
   private heartbeat: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: SidecarServerOptions) {
+    this.serviceMs = options.serviceMs;
     this.startedAtMs = options.startedAtMs ?? Date.now();
     this.server = createServer((req, res) => this.receive(req, res));
   }
@@ -98,7 +101,7 @@
   }
 
   private receive(req: IncomingMessage, res: ServerResponse): void {
-    const {id, slots, serviceMs} = this.options;
+    const {id, slots} = this.options;
     res.setHeader(
       'x-server-load',
       `${this.inFlight},0,${slots},${this.slowdownPercent}`,
@@ -127,7 +130,7 @@
     setTimeout(() => {
       this.inFlight--;
       res.writeHead(200, {'x-response-signature': id}).end(`${id} ${attempt}`);
-    }, serviceMs);
+    }, this.serviceMs);
   }
 
   private run(attempt: string, req: IncomingMessage): void {
