Handle the failure of an exchange outside of undici's error handling

Cause: a load check of a server that is gone fails; its callback answers the load queries that waited, a gateway of the same VM sends its call at once, and the gate starts the next load check, all within undici's handler of the connection error. That one asserts afterwards that its client has no request (client.js, onError, kSize) and the error ends the process.

Change: failures are handled in a microtask, after undici has ended its own handling. This holds for every exchange, with servers and gates.

--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -141,10 +141,15 @@
     this.finish({type: 'whole', bytes});
   }
 
+  // undici fails an assertion, which ends the process, if its client gets a request while it reports an error.
   onResponseError(
     _controller: Dispatcher.DispatchController,
     err: Error,
   ): void {
+    queueMicrotask(() => this.handleError(err));
+  }
+
+  private handleError(err: Error): void {
     if (this.stream !== undefined) {
       this.stream.destroy(err);
       this.onStreamEnd();
