Test: a store that answers late is not taken for one that has lost a call

Seen beside load (KNOWN-RED): 'refuses stale tickets ...' got already for accepted, 'creates, reads, replaces ...' storeUnavailable for storeConflict.

Cause: these tests give the store 300 ms. In 4 runs of the suites beside 24 busy processes, dozens of calls to the stand-in took longer and were aborted, writes of the configuration among them. A write whose answer is lost is repeated, found to be in force and answered already, as designed: with a store that loses answers for 350 ms the same test prints exactly that.

The tests of a silent store and of lost answers keep 300 ms. Every check is as before.

--- a/packages/node/src/node_test.ts
+++ b/packages/node/src/node_test.ts
@@ -41,13 +41,21 @@
 silence_ms = 2000
 `;
 
+/** Less than the time after which a submission is answered as undetermined. */
+const LONG_STORE_TIMEOUT_MS = 5_000;
+
 const formatAnswer = ({status, kind, runState, resendSafe}: TestAnswer) =>
   `${status} ${kind} ${runState} ${resendSafe}`;
 
 describe('a fleet on real sockets', () => {
   describe('without faults', () => {
-    // No peer stops responding here; the long silence limit keeps a busy machine from appearing so.
-    beforeEach(() => start({ticket: LONG_SILENCE_TICKET}));
+    // No peer and no store stops responding here; the long limits keep a busy machine from appearing so.
+    beforeEach(() =>
+      start({
+        ticket: LONG_SILENCE_TICKET,
+        storeTimeoutMs: LONG_STORE_TIMEOUT_MS,
+      }),
+    );
 
     it('answers through each node and explains the choice of server', async () => {
       for (const memberIndex of [0, 1, 2]) {
--- a/packages/node/src/testing/test_fleet.ts
+++ b/packages/node/src/testing/test_fleet.ts
@@ -45,9 +45,12 @@
   readonly meanMs?: number;
   /** Slots of each server. */
   readonly slots?: number;
+  /** Time after which a node takes a call to the store for lost, milliseconds. */
+  readonly storeTimeoutMs?: number;
 }
 
 const DEFAULT_SLOTS = 10;
+const DEFAULT_STORE_TIMEOUT_MS = 300;
 const CONDITION_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 10;
 
@@ -165,6 +168,7 @@
   ): Promise<TestMember> {
     const [caller = 0, data = 0, control = 0, operator = 0] =
       await freePorts(4);
+    const {storeTimeoutMs = DEFAULT_STORE_TIMEOUT_MS} = this.options;
     const dataRelay = new TcpRelay(data);
     this.relays.push(dataRelay);
     const id = `vm-${index + 1}`;
@@ -181,7 +185,7 @@
 round_ms = 200
 [platform]
 url = ${platformUrl}
-timeout_ms = 300
+timeout_ms = ${storeTimeoutMs}
 `)._unsafeUnwrap();
     const logger = new Logger({
       node: id,
