Run timers only after the sockets have been read

After a node has stood still (frozen, or behind), a call whose answer lies unread in its socket could end as 504, a server that has answered a load query could be set aside, a store that has answered taken for lost.

Cause: Node.js runs timers that are due before it polls the sockets. Found while a flaky test was traced (gateways choosing their own server only).

Change: RealTimers runs a function in the phase after the poll.

Not covered: an answer that needs more than one read (over 64 KB) or that another frozen process must still forward.

--- a/packages/node/src/gate/server_connections.ts
+++ b/packages/node/src/gate/server_connections.ts
@@ -1,5 +1,6 @@
 /** Connections to one server, as an abstract class so that trials can run without sockets. */
 import {connect} from 'node:net';
+import {runAfter} from '@goldcresthill/timers';
 import {Client, Pool} from 'undici';
 import {createConnector} from '../http/connector';
 import {HttpExchange} from '../http/exchange';
@@ -82,13 +83,12 @@
     const exchange = new HttpExchange(
       {method: 'GET', path, headers: {}, body: EMPTY, maxBufferedBytes: 1_024},
       result => {
-        clearTimeout(timer);
+        cancelTimeout();
         done(result);
       },
     );
-    const timer = setTimeout(
-      () => exchange.abort('load check timed out'),
-      CHECK_TIMEOUT_MS,
+    const cancelTimeout = runAfter(CHECK_TIMEOUT_MS, () =>
+      exchange.abort('load check timed out'),
     );
     exchange.start(this.loadClient);
   }
@@ -97,12 +97,12 @@
     return new Promise(done => {
       const socket = connect(this.address);
       const end = (accepts: boolean): void => {
-        clearTimeout(timer);
+        cancelTimeout();
         socket.destroy();
         done(accepts);
       };
       // A server that is too busy to accept connections in time is not dead.
-      const timer = setTimeout(() => end(true), CHECK_TIMEOUT_MS);
+      const cancelTimeout = runAfter(CHECK_TIMEOUT_MS, () => end(true));
       socket.on('connect', () => end(true));
       socket.on('error', () => end(false));
     });
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -4,6 +4,7 @@
 import {isErrorKind} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {decodeLoadReport, HEADERS} from '@goldcresthill/protocol';
+import {runAfter} from '@goldcresthill/timers';
 import type {
   AttemptId,
   CallAttributes,
@@ -169,15 +170,14 @@
       maxBufferedBytes: 1_024,
     },
     result => {
-      clearTimeout(timer);
+      cancelTimeout();
       const load =
         result.type === 'answer' ? result.headers[HEADERS.load] : undefined;
       done(decodeLoadReport(singleValue(load)));
     },
   );
-  const timer = setTimeout(
-    () => exchange.abort('probe timed out'),
-    QUERY_TIMEOUT_MS,
+  const cancelTimeout = runAfter(QUERY_TIMEOUT_MS, () =>
+    exchange.abort('probe timed out'),
   );
   exchange.start(pool);
 }
@@ -224,12 +224,11 @@
       maxBufferedBytes: MAX_KEPT_ANSWER_BYTES,
     };
     const exchange = new HttpExchange(req, result => {
-      clearTimeout(timer);
+      cancelTimeout();
       done(result);
     });
-    const timer = setTimeout(
-      () => exchange.abort('query timed out'),
-      QUERY_TIMEOUT_MS,
+    const cancelTimeout = runAfter(QUERY_TIMEOUT_MS, () =>
+      exchange.abort('query timed out'),
     );
     exchange.start(dispatcher);
   });
--- a/packages/node/src/http/request_body.ts
+++ b/packages/node/src/http/request_body.ts
@@ -1,6 +1,8 @@
 /** Buffers request bodies in memory, within limits. */
 import type {IncomingMessage} from 'node:http';
 import {BalancerError} from '@goldcresthill/errors';
+import {runAfter} from '@goldcresthill/timers';
+import type {Cancel} from '@goldcresthill/timers';
 
 /** Limit on the total size of all bodies that are buffered at once. */
 export class BodyBudget {
@@ -71,7 +73,7 @@
   private readonly chunks: Buffer[] = [];
   private receivedBytes = 0;
   private ended = false;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimeout: Cancel = () => undefined;
 
   constructor(
     private readonly req: IncomingMessage,
@@ -80,15 +82,13 @@
   ) {}
 
   start(): void {
-    this.timer = setTimeout(
-      () =>
-        this.fail(
-          new BalancerError(
-            'slowSender',
-            'request body was not received in time',
-          ),
+    this.cancelTimeout = runAfter(this.options.timeoutMs, () =>
+      this.fail(
+        new BalancerError(
+          'slowSender',
+          'request body was not received in time',
         ),
-      this.options.timeoutMs,
+      ),
     );
     this.req.on('data', (chunk: Buffer) => this.append(chunk));
     this.req.on('end', () => this.finish());
@@ -138,6 +138,6 @@
 
   private stop(): void {
     this.ended = true;
-    clearTimeout(this.timer);
+    this.cancelTimeout();
   }
 }
--- a/packages/timers/src/index.ts
+++ b/packages/timers/src/index.ts
@@ -1,4 +1,4 @@
 /** Clocks and timers that are injected into tasks. */
 export {Timers} from './timers';
 export type {Cancel} from './timers';
-export {RealTimers} from './real_timers';
+export {RealTimers, runAfter} from './real_timers';
