--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -15,6 +15,14 @@
   LoadResult,
   LoadStream,
 } from './load/open_loop';
+/** Loads the code that draws charts; nodes run from the same program and do without it. */
+export const loadAblationChart = () => import('./virtual/ablation_chart');
+export {runAblationExperiment} from './virtual/ablation_experiment';
+export type {
+  AblationChange,
+  AblationOptions,
+  AblationRow,
+} from './virtual/ablation_experiment';
 export {ABLATION_ARMS, ARMS, BASELINE_ARMS} from './virtual/arms';
 export type {ArmName} from './virtual/arms';
 export {runRoutingExperiment} from './virtual/routing_experiment';
--- a/packages/cli/src/commands/bench/index.ts
+++ b/packages/cli/src/commands/bench/index.ts
@@ -1,5 +1,6 @@
 /** `goldcresthill bench`: experiments. */
 import {subcommands} from 'cmd-ts';
+import {ablationCommand} from './ablation';
 import {capacityCommand} from './capacity';
 import {faultsCommand} from './faults';
 import {latencyCommand} from './latency';
@@ -20,6 +21,7 @@
     },
   ],
   cmds: {
+    ablation: ablationCommand,
     capacity: capacityCommand,
     faults: faultsCommand,
     latency: latencyCommand,
