--- a/packages/timers/src/real_timers_test.ts
+++ b/packages/timers/src/real_timers_test.ts
@@ -55,6 +55,7 @@
     expect(events).toEqual(['message', 'timer', 'interval']);
   });
 
+  // A call ended as timed out although its answer lay in the socket.
   it('can be cancelled by a message that arrived before they ran late', async () => {
     const ran: string[] = [];
     const cancelTimer = timers.after(DELAY_MS, () => ran.push('timer'));
