--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -114,7 +114,7 @@
     }
     breaker.succeed();
     this.setStoreReachable(true);
-    return this.applyObject(read.value);
+    return this.applyObject(read.value, usesWatch ? 'watch' : 'read');
   }
 
   private get watchMs(): number {
@@ -122,11 +122,14 @@
     return Math.min(MAX_WATCH_MS, Math.max(MIN_WATCH_MS, renewalMs));
   }
 
-  private applyObject(object: StoredObject | undefined): number {
+  private applyObject(
+    object: StoredObject | undefined,
+    source: string,
+  ): number {
     if (object === undefined) return this.handleAbsence();
     this.isAbsent = false;
     this.objectVersion = object.version;
-    this.offer(object.value, 'store');
+    this.offer(object.value, source);
     return 0;
   }
 
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -55,6 +55,8 @@
   /** Server processes that announced that they are leaving, as an earlier process of this node wrote; none if it wrote none. */
   readonly onLeavingInstances?: (instances: readonly string[]) => void;
   readonly onPeers: (records: readonly MemberRecord[]) => void;
+  /** The object of this node is known to be in the store with this version. */
+  readonly onWritten?: (objectVersion: number) => void;
   /** Version and servers to write into the object; without them, other nodes receive both by gossip only. */
   readonly ownRecord?: () => Pick<MemberRecord, 'version' | 'servers'>;
   /** Whether a restarted node keeps its existing object unchanged if only the boot id differs. */
@@ -157,7 +159,7 @@
     if (creation.isErr()) return false;
     const {created, object} = creation.value;
     if (!created) return this.adoptExisting(object);
-    this.objectVersion = object.version;
+    this.recordWritten(object.version);
     this.options.onLeavingInstances?.([]);
     return true;
   }
@@ -186,7 +188,7 @@
       isLeavingWritten &&
       isSameExceptBootId(previous?.address, address)
     ) {
-      this.objectVersion = version;
+      this.recordWritten(version);
       return true;
     }
     return (await this.put(version)).isOk();
@@ -205,10 +207,15 @@
     const {store, address} = this.options;
     const path = this.pathOf(address.nodeId);
     const put = await store.put(path, this.encode(), expectedVersion);
-    if (put.isOk()) this.objectVersion = put.value;
+    if (put.isOk()) this.recordWritten(put.value);
     return put;
   }
 
+  private recordWritten(objectVersion: number): void {
+    this.objectVersion = objectVersion;
+    this.options.onWritten?.(objectVersion);
+  }
+
   private encode(): string {
     const {address, incarnation, ownRecord} = this.options;
     const {leaving} = this;
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -88,6 +88,7 @@
   private watcherCount = 1;
   private closed = false;
   private cancelResends: Cancel = () => undefined;
+  private unsubscribeRestored: () => void = () => undefined;
 
   constructor(private readonly options: SidecarControlOptions<Config>) {
     this.watchDuty = new WatchDuty(options.timers.now(), {
@@ -103,6 +104,12 @@
   /** Starts to follow the configuration. */
   start(): void {
     this.updateMembers();
+    this.unsubscribeRestored = this.options.store.onRestored(storeEra =>
+      this.options.logger.warn('storeRestored', {
+        storeEra,
+        configVersion: this.config.version,
+      }),
+    );
     void this.config.start();
     this.cancelResends = this.options.timers.every(RESEND_INTERVAL_MS, () =>
       this.resendUpdates(),
@@ -186,6 +193,7 @@
   async close(): Promise<void> {
     this.closed = true;
     this.cancelResends();
+    this.unsubscribeRestored();
     this.memberTableFetcher.close();
     this.config.close();
     this.presence.close();
@@ -236,6 +244,11 @@
       ownRecord: () => this.ownRecord(),
       onLeavingInstances: events.onLeavingInstances,
       onPeers: records => this.member.post({type: 'seed', records}),
+      onWritten: objectVersion =>
+        this.options.logger.info('presenceWritten', {
+          objectVersion,
+          storeEra: this.options.store.era,
+        }),
     });
   }
 
@@ -256,6 +269,7 @@
       onStoreReachable: reachable =>
         logger.warn(reachable ? 'storeRegained' : 'storeLost', {
           configVersion: this.config.version,
+          storeEra: options.store.era,
         }),
       onInvalid: reason =>
         logger.warn('configInvalid', {
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -160,6 +160,11 @@
     return this.store.counts;
   }
 
+  /** Newest era of the store that this node knows; 0 before the first response. */
+  get storeEra(): number {
+    return this.store.era;
+  }
+
   get invariantsBroken(): number {
     return this.brokenInvariantCount;
   }
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -7,6 +7,7 @@
   CreateResult,
   ListOptions,
   ReadOptions,
+  RestoreListener,
   StoredObject,
   StoreResult,
 } from './object_store';
@@ -29,6 +30,14 @@
     return {made: this.callsMade, failed: this.callsFailed};
   }
 
+  override get era(): number {
+    return this.inner.era;
+  }
+
+  override onRestored(listener: RestoreListener): () => void {
+    return this.inner.onRestored(listener);
+  }
+
   override get(
     path: string,
     options?: ReadOptions,
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -4,6 +4,7 @@
   CreateResult,
   ListOptions,
   ReadOptions,
+  RestoreListener,
   StoredObject,
   StoreResult,
   ExpectedVersion,
--- a/packages/object-store/src/object_store.ts
+++ b/packages/object-store/src/object_store.ts
@@ -3,7 +3,7 @@
 import {errAsync, okAsync} from 'neverthrow';
 import type {ResultAsync} from 'neverthrow';
 
-/** An object with the version that the store assigned. Versions only increase. */
+/** An object with the version that the store assigned. Versions only increase within an era. */
 export interface StoredObject {
   readonly path: string;
   readonly version: number;
@@ -34,6 +34,9 @@
 /** Result of a call to the store. */
 export type StoreResult<T> = ResultAsync<T, ErrorKind>;
 
+/** Receives the new era of a store that was restored. */
+export type RestoreListener = (era: number) => void;
+
 /** Version that an object must have for a write to take effect; 0 if it must not exist. */
 export type ExpectedVersion = number;
 
@@ -43,6 +46,24 @@
  * failure it is unknown whether the write took effect.
  */
 export abstract class ObjectStore {
+  private readonly restoreListeners = new Set<RestoreListener>();
+  private currentEra = 0;
+
+  /** Newest era of the store that this process knows; 0 before the first response. */
+  get era(): number {
+    return this.currentEra;
+  }
+
+  /**
+   * Calls a listener each time the store turns out to have been restored from
+   * an older copy. Versions and acknowledged writes of earlier eras are void.
+   * Returns a function that unsubscribes the listener.
+   */
+  onRestored(listener: RestoreListener): () => void {
+    this.restoreListeners.add(listener);
+    return () => this.restoreListeners.delete(listener);
+  }
+
   /** Reads an object; resolves to undefined if it does not exist. */
   abstract get(
     path: string,
@@ -78,6 +99,15 @@
   ): StoreResult<StoredObject | undefined>;
   abstract close(): Promise<void>;
 
+  /** Records the era of a response. */
+  protected recordEra(era: number): void {
+    const previous = this.currentEra;
+    if (era <= previous) return;
+    this.currentEra = era;
+    if (previous === 0) return;
+    for (const listener of this.restoreListeners) listener(era);
+  }
+
   private readExisting(path: string): StoreResult<CreateResult> {
     return this.get(path).andThen(object =>
       object === undefined
