Test: a store restored from an older copy, in the stand-ins (failing, KNOWN-RED)

Change: the stand-ins of the store can be restored from a copy: revisions go back, a watch from one that is gone gets 410, watches stay open, Store-Era rises.

The client drops a change whose revision is lower than, or the same as, one of the lost history, and a pending watch does not end. A node that starts does not find peers whose entries were lost, nor the configuration that they hold; a leaving that was acknowledged is forgotten after a power loss. In virtual time a change after a restore is in force in time, because the simulated watch is told of each write.

--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -1,5 +1,6 @@
 /** Test doubles for the environment: the platform's store, servers, unreliable connections and time. */
 export {MemoryPlatform} from './memory_platform';
+export type {PlatformCopy} from './memory_platform';
 export {EndlessServer} from './endless_server';
 export type {EndlessPart} from './endless_server';
 export {StaleStore} from './stale_store';
--- a/packages/test-utils/src/memory_platform.ts
+++ b/packages/test-utils/src/memory_platform.ts
@@ -15,15 +15,22 @@
   readonly removed: boolean;
 }
 
+/** Copy of a store's content, from which it can be restored. */
+export interface PlatformCopy {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  readonly version: number;
+}
+
 /** Synchronous object store; versions increase over the whole store, not per object. */
 export class MemoryPlatform {
-  private readonly objects = new Map<string, StoredObject>();
+  private objects = new Map<string, StoredObject>();
   private readonly watchers = new Map<string, Set<Watcher>>();
   private readonly listeners = new Set<() => void>();
   private history: StoreEvent[] = [];
   /** Changes up to this version are no longer in the history. */
   private compactedVersion = 0;
   private version = 0;
+  private currentEra = 1;
   readonly counts = {reads: 0, writes: 0, watches: 0};
 
   get(path: string): StoredObject | undefined {
@@ -65,9 +72,10 @@
     return this.version;
   }
 
-  /** Changes under a prefix after a version, or undefined if the history does not reach back that far. */
+  /** Changes under a prefix after a version, or undefined if the history does not contain that version. */
   eventsAfter(prefix: string, version: number): StoreEvent[] | undefined {
-    if (version < this.compactedVersion) return undefined;
+    if (version < this.compactedVersion || version > this.version)
+      return undefined;
     return this.history.filter(
       ({object}) => object.version > version && object.path.startsWith(prefix),
     );
@@ -80,6 +88,23 @@
     return () => this.listeners.delete(listener);
   }
 
+  /** Rises with each restore. */
+  get era(): number {
+    return this.currentEra;
+  }
+
+  copy(): PlatformCopy {
+    return {objects: new Map(this.objects), version: this.version};
+  }
+
+  /** Replaces the content by an older copy. Later changes are lost, and their versions are given out again. Watches stay open. */
+  restore({objects, version}: PlatformCopy): void {
+    this.objects = new Map(objects);
+    this.version = version;
+    this.history = this.history.filter(({object}) => object.version <= version);
+    this.currentEra++;
+  }
+
   /** Drops the history, as a compaction of the store does. */
   compactHistory(): void {
     this.compactedVersion = this.version;
--- a/packages/test-utils/src/platform_server.ts
+++ b/packages/test-utils/src/platform_server.ts
@@ -49,6 +49,7 @@
 
   constructor() {
     this.server = createServer((req, res) => {
+      res.setHeader('store-era', this.platform.era);
       this.handle(req, res).catch(() => res.destroy());
     });
   }
--- a/packages/test-utils/src/stale_store.ts
+++ b/packages/test-utils/src/stale_store.ts
@@ -113,18 +113,21 @@
           new Promise(done => {
             const read = (): StoredObject | undefined => {
               const object = platform.get(path);
-              return (object?.version ?? 0) > after ? object : undefined;
+              return object?.version === after ? undefined : object;
             };
-            const found = read();
-            if (found !== undefined) return done(ok(found));
-            const unsubscribe = platform.watch(path, object => {
+            const end = (object: StoredObject | undefined): void => {
               unsubscribe();
-              clock.after(CALL_DELAY_MS, () => done(ok(object)));
-            });
-            clock.after(waitMs, () => {
+              this.recordEra(platform.era);
+              done(ok(object));
+            };
+            let unsubscribe = (): void => undefined;
+            const found = read();
+            if (found !== undefined) return end(found);
+            unsubscribe = platform.watch(path, object => {
               unsubscribe();
-              done(ok(undefined));
+              clock.after(CALL_DELAY_MS, () => end(object));
             });
+            clock.after(waitMs, () => end(undefined));
           }),
         ),
     );
@@ -142,9 +145,11 @@
     this.callCost += stale ? STALE_READ_COST : 1;
     return new ResultAsync(
       new Promise(done =>
-        clock.after(CALL_DELAY_MS, () =>
-          done(isUp() ? answer() : err('storeUnavailable')),
-        ),
+        clock.after(CALL_DELAY_MS, () => {
+          if (!isUp()) return done(err('storeUnavailable'));
+          this.recordEra(this.options.platform.era);
+          done(answer());
+        }),
       ),
     );
   }
--- a/packages/trials/src/member/sidecar_simulation_test.ts
+++ b/packages/trials/src/member/sidecar_simulation_test.ts
@@ -1,3 +1,4 @@
+import type {PlatformCopy} from '@goldcresthill/test-utils';
 import {describe, expect, it} from 'vitest';
 import {SidecarSimulation} from './sidecar_simulation';
 
@@ -38,6 +39,19 @@
   return fleet.runUntil(() => fleet.isInForce(version), CONFIG_APPLY_MS);
 }
 
+/**
+ * Restores the store from an older copy and runs until the nodes can have
+ * noticed: one of their watches ends every 1.5 s on average, and the longest
+ * lasts 25 s.
+ */
+async function restoreStore(
+  fleet: SidecarSimulation,
+  copy: PlatformCopy,
+): Promise<void> {
+  fleet.platform.restore(copy);
+  await fleet.run(25_000);
+}
+
 /** Indexes of the few nodes that watch the store; the others receive changes from them. */
 function watcherIndexes(fleet: SidecarSimulation): number[] {
   return fleet.liveNodes
@@ -116,6 +130,48 @@
   });
 });
 
+describe.each(SIZES)(
+  '$nodes nodes in $domains domains, after the store was restored from an older copy',
+  size => {
+    // A change was not in force in time, as its revision is lower than that of the lost configuration.
+    it('apply a configuration change in time, also if their watches stayed open', async () => {
+      const fleet = await startFleet(size);
+      const copy = fleet.platform.copy();
+      for (let i = 0; i < 5; i++) await changeConfig(fleet);
+      await restoreStore(fleet, copy);
+      expect(await changeConfig(fleet)).toBeDefined();
+    });
+
+    // The entries by which nodes find each other were written once only.
+    it('are found by a node that starts, which then has the configuration that they hold', async () => {
+      const fleet = await startFleet(size);
+      const copy = {...fleet.platform.copy(), objects: new Map()};
+      const version = fleet.changeConfig();
+      await fleet.run(CONFIG_APPLY_MS);
+      await restoreStore(fleet, copy);
+      fleet.boot(size.nodes);
+      const tookMs = await fleet.runUntil(
+        () => fleet.isConverged && fleet.isInForce(version),
+        RECOVERY_MS,
+      );
+      expect(tookMs).toBeDefined();
+    });
+
+    // A server that had left was in use again after its node, and all others, had restarted.
+    it('still record a leaving server after a power loss of the whole fleet', async () => {
+      const fleet = await startFleet(size);
+      const copy = fleet.platform.copy();
+      void fleet.node(1).control.persistLeaving('i-1');
+      await fleet.run(100);
+      await restoreStore(fleet, copy);
+      for (let i = 0; i < size.nodes; i++) fleet.kill(i);
+      for (let i = 0; i < size.nodes; i++) fleet.boot(i);
+      await fleet.runUntil(() => fleet.isConverged, RECOVERY_MS);
+      expect(fleet.node(1).leavingInstances).toEqual(['i-1']);
+    });
+  },
+);
+
 describe('195 nodes in 5 domains', () => {
   it('agree on members before traffic begins, and apply a change when all watchers have died', async () => {
     const fleet = await startFleet(LARGE_SIZE);
