Store client: versions and responses of an earlier era are void

Cause: after a restore the store gives out revisions again, and a watch went on from a revision of the lost history. Objects were taken as newer by their number, so that what was written again at a lower revision was dropped (410, then a list), and what the new history held up to the old revision was never delivered. A follower kept the old revision until a watch failed.

Change: Store-Era is read from each response. A watch compares versions for equality, not order. Followers of the configuration forget the version when the store was restored.

--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -49,7 +49,13 @@
   /** Whether the store has no configuration yet. */
   private isAbsent = false;
 
-  constructor(private readonly options: ConfigFollowerOptions<T>) {}
+  private readonly unsubscribeRestored: () => void;
+
+  constructor(private readonly options: ConfigFollowerOptions<T>) {
+    this.unsubscribeRestored = options.store.onRestored(() =>
+      this.forgetObject(),
+    );
+  }
 
   /** Reads the object and follows its changes until closed. */
   async start(): Promise<void> {
@@ -91,6 +97,12 @@
   close(): void {
     this.closed = true;
     this.cancelPause?.();
+    this.unsubscribeRestored();
+  }
+
+  private forgetObject(): void {
+    this.objectVersion = 0;
+    this.isAbsent = false;
   }
 
   /** Reads or watches the object once; resolves to the delay before the next read, milliseconds. */
@@ -108,8 +120,7 @@
       breaker.fail(timers.now());
       this.setStoreReachable(false);
       // A failed watch may have missed a change, so the object is read again.
-      this.objectVersion = 0;
-      this.isAbsent = false;
+      this.forgetObject();
       return breaker.waitMs(timers.now());
     }
     breaker.succeed();
--- a/packages/node/src/config/config_task.ts
+++ b/packages/node/src/config/config_task.ts
@@ -66,10 +66,14 @@
   private storeAnsweredAt = -Infinity;
   private isWatcher = false;
   private isFollowing = false;
+  private readonly unsubscribeRestored: () => void;
 
   constructor(private readonly options: ConfigTaskOptions) {
     super();
     this.adoptedAt = options.timers.now();
+    this.unsubscribeRestored = options.store.onRestored(() => {
+      this.objectVersion = 0;
+    });
   }
 
   /** Reads the configuration and starts to follow it. */
@@ -98,6 +102,7 @@
 
   override async close(): Promise<void> {
     this.closed = true;
+    this.unsubscribeRestored();
   }
 
   protected override handle(message: ConfigMessage): void {
@@ -210,7 +215,7 @@
   }
 
   private applyObject(object: StoredObject, source: string): void {
-    this.objectVersion = Math.max(this.objectVersion, object.version);
+    this.objectVersion = object.version;
     const parsed = parseConfiguration(object.value);
     if (parsed.isErr()) {
       this.options.onFault(
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -70,10 +70,10 @@
 
   override watch(
     path: string,
-    after: number,
+    known: number,
     waitMs: number,
   ): StoreResult<StoredObject | undefined> {
-    return this.withinBudget(() => this.inner.watch(path, after, waitMs));
+    return this.withinBudget(() => this.inner.watch(path, known, waitMs));
   }
 
   override close(): Promise<void> {
--- a/packages/object-store/src/object_store.ts
+++ b/packages/object-store/src/object_store.ts
@@ -91,21 +91,25 @@
     prefix: string,
     options?: ListOptions,
   ): StoreResult<StoredObject[]>;
-  /** Waits until an object is newer than the version `after`; resolves to undefined after `waitMs` without one. */
+  /**
+   * Waits until an object has another version than `known`, which may be 0, or
+   * the store was restored; resolves to undefined after `waitMs` without either.
+   */
   abstract watch(
     path: string,
-    after: number,
+    known: number,
     waitMs: number,
   ): StoreResult<StoredObject | undefined>;
   abstract close(): Promise<void>;
 
-  /** Records the era of a response. */
-  protected recordEra(era: number): void {
+  /** Records the era of a response, 0 if it names none; returns false if the response belongs to an earlier era. */
+  protected recordEra(era: number): boolean {
     const previous = this.currentEra;
-    if (era <= previous) return;
+    if (era <= previous) return era === 0 || era === previous;
     this.currentEra = era;
-    if (previous === 0) return;
+    if (previous === 0) return true;
     for (const listener of this.restoreListeners) listener(era);
+    return true;
   }
 
   private readExisting(path: string): StoreResult<CreateResult> {
--- a/packages/test-utils/src/stale_store.ts
+++ b/packages/test-utils/src/stale_store.ts
@@ -103,7 +103,7 @@
 
   override watch(
     path: string,
-    after: number,
+    known: number,
     waitMs: number,
   ): StoreResult<StoredObject | undefined> {
     const {platform, clock} = this.options;
@@ -113,14 +113,18 @@
           new Promise(done => {
             const read = (): StoredObject | undefined => {
               const object = platform.get(path);
-              return object?.version === after ? undefined : object;
+              return object?.version === known ? undefined : object;
             };
             const end = (object: StoredObject | undefined): void => {
               unsubscribe();
+              unsubscribeRestored();
               this.recordEra(platform.era);
               done(ok(object));
             };
             let unsubscribe = (): void => undefined;
+            const unsubscribeRestored = this.onRestored(() =>
+              end(platform.get(path)),
+            );
             const found = read();
             if (found !== undefined) return end(found);
             unsubscribe = platform.watch(path, object => {
