Membership: repair of a differing bucket starts at a random record

What users would see: on a large fleet a node never learns of another one that runs, so it sends its server nothing.

Cause: a peer whose bucket hash differs is sent the records of that bucket from the first one on, as many as fit into a message (four of 1,200 bytes). A bucket of 195 nodes has three on average, at 920 nodes 14: what stands later is never sent.

Change: the records of all differing buckets are one list, which is sent from a random record on.

Ruled out: the byte budget (full), lost messages (none), the digest (it differed).

--- a/packages/membership/src/exchange_composer.ts
+++ b/packages/membership/src/exchange_composer.ts
@@ -130,22 +130,25 @@
     return record === undefined ? [] : [record];
   }
 
-  /** Records of the buckets in which a peer's table differs, from a random bucket on. */
+  /** Records of the buckets in which a peer's table differs, as many as there is room for. */
   private divergentRecords(peer: string, room: number): MemberRecord[] {
     const digests = this.peerBuckets.get(peer);
     if (digests === undefined) return [];
     this.peerBuckets.delete(peer);
+    const candidates = this.table.bucketDigests.flatMap((digest, bucket) =>
+      digests[bucket] === digest ? [] : this.table.inBucket(bucket),
+    );
+    // A random start, as a bucket may have more records than fit into one message.
+    const start = Math.floor(this.options.random() * candidates.length);
     const records: MemberRecord[] = [];
     let left = room;
-    const start = Math.floor(this.options.random() * BUCKETS);
-    for (let i = 0; i < BUCKETS; i++) {
-      const bucket = (start + i) % BUCKETS;
-      if (digests[bucket] === this.table.bucketDigests[bucket]) continue;
-      for (const record of this.table.inBucket(bucket)) {
-        left -= recordBytes(record);
-        if (left < 0) return records;
-        records.push(record);
-      }
+    for (const record of [
+      ...candidates.slice(start),
+      ...candidates.slice(0, start),
+    ]) {
+      left -= recordBytes(record);
+      if (left < 0) return records;
+      records.push(record);
     }
     return records;
   }
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -14,15 +14,22 @@
   nodeId: string,
   bootId: number,
   maxMessageBytes?: number,
+  random: () => number = () => 0,
 ) {
   return new Membership(0, {
     self: addressOf(nodeId, bootId),
     incarnation: bootId,
-    random: () => 0,
+    random,
     maxMessageBytes,
   });
 }
 
+/** Returns a function that yields evenly distributed fractions. */
+function newRandom(): () => number {
+  let last = 0;
+  return () => (last = (last + Math.SQRT2) % 1);
+}
+
 function leavingInstances(
   commands: readonly MemberCommand[],
 ): readonly string[] {
@@ -75,6 +82,28 @@
   });
 });
 
+describe('tables that differ', () => {
+  // The first records of a bucket were sent each time, so that nodes of a large fleet never learned of the others in it.
+  it('become equal although a bucket has more records than fit into a message', () => {
+    const records = Array.from({length: 600}, (_, i) => ({
+      address: addressOf(`vm-${i}`, 1),
+      incarnation: 1,
+      version: 1,
+      status: 'alive' as const,
+      servers: [],
+    }));
+    const peer = newMembership('p', 6, 1_200, newRandom());
+    peer.seed(0, records);
+    const node = newMembership('n', 5, 1_200, newRandom());
+    node.seed(0, records.slice(0, -20));
+    for (let now = 0; now < 100_000; now += 1_000) {
+      exchange(now, node, peer);
+      exchange(now, peer, node);
+    }
+    expect(node.digest).toBe(peer.digest);
+  });
+});
+
 describe('messages', () => {
   it('stay within the size limit however much is queued', () => {
     const node = newMembership('n', 5, 1_200);
