Presence objects are written again after the store was restored

In virtual time a node that started after a restore never found its peers, nor the configuration that they held, and after a power loss a server that had left was in use again.

Cause: acknowledged writes were taken for lasting. A node writes its object once; most nodes make no later call, so that nothing showed them the restore.

Change: gossip carries the newest era of the store that a node knows, pushed at once like the revision of the configuration. A node that hears of a new one reads its object, and writes it again if it is missing or lacks a leaving server, within a time that keeps the fleet under half of the store's writing rate. Removal of objects of dead nodes, which may be back, is scheduled again. A node that has listed peers reads the list again until one has sent it a message, as all of them may be dead.

Not covered: nodes of earlier versions do not decode the longer datagram.

--- a/packages/membership/src/exchange_composer.ts
+++ b/packages/membership/src/exchange_composer.ts
@@ -31,6 +31,7 @@
 export interface MessageContext {
   readonly self: NodeAddress;
   readonly configRevision: number;
+  readonly storeEra: number;
   /** Bytes that the budget allows. */
   readonly bytesLeft: number;
 }
@@ -118,6 +119,7 @@
       digest: this.table.digest,
       buckets: sendBuckets ? [...this.table.bucketDigests] : [],
       configRevision: context.configRevision,
+      storeEra: context.storeEra,
       probeTarget: undefined,
       probeReached: false,
     };
--- a/packages/membership/src/exchange_message.ts
+++ b/packages/membership/src/exchange_message.ts
@@ -18,6 +18,8 @@
   /** Hashes of the table's buckets; empty unless the tables are known to differ. */
   readonly buckets: readonly number[];
   readonly configRevision: number;
+  /** Newest era of the store that the sender knows; 0 if it knows none. */
+  readonly storeEra: number;
   /** Node that the receiver is asked to probe; with `probeReached`, the node that the sender reached on request. */
   readonly probeTarget: string | undefined;
   /** Whether this reports a successful indirect probe of `probeTarget`. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -57,6 +57,7 @@
   private successorCursor = 0;
   private pushDue = false;
   private configRevision = 0;
+  private storeEra = 0;
   private self: MemberRecord;
 
   constructor(
@@ -195,6 +196,16 @@
     return commands;
   }
 
+  /** Sets the newest era of the store that this node knows. A later one than the first is pushed at once. */
+  setStoreEra(now: Millis, era: number): MemberCommand[] {
+    if (era <= this.storeEra) return [];
+    const isFirst = this.storeEra === 0;
+    this.storeEra = era;
+    const commands: MemberCommand[] = [];
+    if (!isFirst) this.push(now, commands);
+    return commands;
+  }
+
   /** Pushes an update at once; the caller has checked that it is new. */
   spread(now: Millis, news: QuarantineUpdate): MemberCommand[] {
     this.composer.queueUpdate(news);
@@ -267,6 +278,11 @@
       const revision = message.configRevision;
       commands.push({type: 'fetchConfig', from: message.from, revision});
     }
+    if (message.storeEra > this.storeEra) {
+      const {storeEra: era} = message;
+      commands.push(...this.setStoreEra(now, era));
+      commands.push({type: 'storeRestored', era});
+    }
     return commands;
   }
 
@@ -527,6 +543,7 @@
     return this.composer.compose(peer, {
       self: this.self.address,
       configRevision: this.configRevision,
+      storeEra: this.storeEra,
       bytesLeft: this.byteBudget.available(now),
     });
   }
--- a/packages/membership/src/membership_types.ts
+++ b/packages/membership/src/membership_types.ts
@@ -26,6 +26,8 @@
   | {readonly type: 'news'; readonly news: QuarantineUpdate}
   /** Server processes of this VM are leaving, as an earlier process of this node announced. */
   | {readonly type: 'leaving'; readonly instances: readonly string[]}
+  /** A peer knows a newer era of the store: it was restored from an older copy. */
+  | {readonly type: 'storeRestored'; readonly era: number}
   | {
       readonly type: 'fetchConfig';
       readonly from: NodeAddress;
--- a/packages/node/src/control_plane.ts
+++ b/packages/node/src/control_plane.ts
@@ -50,12 +50,16 @@
 /** Number of nodes in each domain that watch the configuration in the store. */
 const WATCHERS_PER_DOMAIN = 2;
 
+/** Time over which the nodes write their presence objects again after a restore of the store, milliseconds per node. */
+const REWRITE_SPREAD_MS_PER_NODE = 5;
+
 /** The parts of a node that deal with the fleet rather than with calls. */
 export class ControlPlane {
   readonly member: MemberTask;
   readonly config: ConfigTask;
   readonly presence: Presence;
   private membersUpdateScheduled = false;
+  private readonly unsubscribeRestored: () => void;
 
   constructor(private readonly options: ControlPlaneOptions) {
     const {address, incarnation, store, breaker, timers, random, events} =
@@ -80,6 +84,11 @@
       address,
       incarnation,
       onPeers: records => this.member.post({type: 'seed', records}),
+      onWritten: () => this.member.post({type: 'setStoreEra', era: store.era}),
+    });
+    this.unsubscribeRestored = store.onRestored(era => {
+      this.member.post({type: 'setStoreEra', era});
+      this.rewritePresence(era);
     });
   }
 
@@ -120,6 +129,7 @@
   }
 
   async close(): Promise<void> {
+    this.unsubscribeRestored();
     this.presence.close();
     await Promise.all([this.config.close(), this.member.close()]);
   }
@@ -133,6 +143,7 @@
         onQuarantineUpdate: events.onQuarantineUpdate,
         heldRevision: () => this.config.current.revision,
         onConfigDelta: delta => this.config.post({type: 'applyDelta', delta}),
+        onStoreRestored: era => this.rewritePresence(era),
         onStatus: (nodeId, status, reason) =>
           this.onStatus(nodeId, status, reason),
         onFault: events.onFault,
@@ -140,6 +151,11 @@
     });
   }
 
+  private rewritePresence(era: number): void {
+    const nodes = this.member.membership.reachable().length;
+    this.presence.ensureWritten(era, nodes * REWRITE_SPREAD_MS_PER_NODE);
+  }
+
   // Many records may change at once; the update runs once for all of them.
   private scheduleMembersUpdate(): void {
     if (this.membersUpdateScheduled) return;
--- a/packages/node/src/member/control_links_test.ts
+++ b/packages/node/src/member/control_links_test.ts
@@ -46,6 +46,7 @@
       digest: 0,
       buckets: [],
       configRevision: 0,
+      storeEra: 0,
       probeTarget: undefined,
       probeReached: false,
     };
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -20,6 +20,7 @@
   | {readonly type: 'spread'; readonly update: QuarantineUpdate}
   | {readonly type: 'requeue'; readonly updates: readonly QuarantineUpdate[]}
   | {readonly type: 'setConfigRevision'; readonly revision: number}
+  | {readonly type: 'setStoreEra'; readonly era: number}
   | {
       readonly type: 'exchangeAnswered';
       readonly peer: string;
@@ -43,6 +44,8 @@
   /** Returns the revision of the configuration in force at this node. */
   readonly heldRevision: () => number;
   readonly onConfigDelta: (delta: ConfigDelta) => void;
+  /** Another node knows a newer era of the store. */
+  readonly onStoreRestored: (era: number) => void;
   readonly onStatus: (nodeId: string, status: string, reason: string) => void;
   readonly onFault: (err: unknown) => void;
 }
@@ -140,6 +143,8 @@
         return this.execute(
           membership.setConfigRevision(now, message.revision),
         );
+      case 'setStoreEra':
+        return this.execute(membership.setStoreEra(now, message.era));
       case 'exchangeAnswered':
         return this.execute(
           membership.receiveAnswer(now, message.peer, message.answer),
@@ -185,6 +190,9 @@
         case 'news':
           events.onQuarantineUpdate(command.news);
           break;
+        case 'storeRestored':
+          events.onStoreRestored(command.era);
+          break;
         case 'fetchConfig':
           void this.fetchConfig(command.from);
           break;
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -63,6 +63,8 @@
   readonly reusesObject?: boolean;
   /** Whether only single pages of the list are read, because the nodes on them know the others. */
   readonly listsOnePage?: boolean;
+  /** Whether a message of another node has been received; without one, the list is read again, as all listed peers may be dead. */
+  readonly hasContact?: () => boolean;
   readonly random?: () => number;
 }
 
@@ -80,7 +82,9 @@
   private cancelRetry: Cancel | undefined;
   private closed = false;
   private hasListed = false;
-  private isAlone = true;
+  /** Era of the store in which the object is known to be. */
+  private writtenEra = 0;
+  private cancelRestore: Cancel | undefined;
   private cancelRelist: Cancel | undefined;
   private leaving: readonly string[] = [];
 
@@ -109,6 +113,19 @@
     return written;
   }
 
+  /**
+   * Writes the object again if it may be missing in an era of the store, after
+   * a random delay of at most `spreadMs` milliseconds.
+   */
+  ensureWritten(era: number, spreadMs: number): void {
+    const {timers, random = Math.random} = this.options;
+    if (this.closed || this.writtenEra === 0) return;
+    this.cancelRestore?.();
+    this.cancelRestore = timers.after(spreadMs * random(), () => {
+      if (!this.closed && this.writtenEra < era) void this.restore();
+    });
+  }
+
   /** Removes the presence object of this node, if it was written. */
   async remove(): Promise<void> {
     this.close();
@@ -134,6 +151,7 @@
     this.closed = true;
     this.cancelRetry?.();
     this.cancelRelist?.();
+    this.cancelRestore?.();
   }
 
   private scheduleRetry(): void {
@@ -194,6 +212,12 @@
     return (await this.put(version)).isOk();
   }
 
+  // The object is read first because most objects are older than the copy from which the store was restored.
+  private async restore(): Promise<void> {
+    this.objectVersion = undefined;
+    if (!(await this.readAndAdopt())) this.scheduleRetry();
+  }
+
   private async rewrite(): Promise<boolean> {
     const {objectVersion: version} = this;
     if (version !== undefined && (await this.put(version)).isOk()) return true;
@@ -213,6 +237,7 @@
 
   private recordWritten(objectVersion: number): void {
     this.objectVersion = objectVersion;
+    this.writtenEra = this.options.store.era;
     this.options.onWritten?.(objectVersion);
   }
 
@@ -223,7 +248,13 @@
   }
 
   private async list(): Promise<boolean> {
-    const {store, onPeers, address, listsOnePage = false} = this.options;
+    const {
+      store,
+      onPeers,
+      address,
+      listsOnePage = false,
+      hasContact = () => true,
+    } = this.options;
     const found = await (listsOnePage
       ? this.listNearby()
       : store.list(PREFIX, {stale: true}));
@@ -234,9 +265,9 @@
       object => parsePresence(object.value) ?? [],
     );
     const others = values.filter(v => v.address.nodeId !== address.nodeId);
-    this.isAlone = others.length === 0;
     onPeers(others.map(toMemberRecord));
-    if (isFirst || this.isAlone) this.scheduleRelist();
+    const isAlone = others.length === 0 || !hasContact();
+    if (isFirst || isAlone) this.scheduleRelist();
     return true;
   }
 
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -52,6 +52,8 @@
   readonly versionOf: (config: Config) => number;
   /** Time within which a configuration must be in force at all nodes, milliseconds. */
   readonly configApplyMs: Millis;
+  /** Writes per second that the store allows the whole fleet. */
+  readonly storeWritesPerSecond: number;
   /** Returns the record of the server that is expected on this VM, for use until it has announced itself. */
   readonly expectedServer: () => ServerRecord;
   readonly events: SidecarControlEvents<Config>;
@@ -73,6 +75,9 @@
 const MEMBERS_DELAY_MS = 50;
 /** Time that a dead node has to come back before its presence object is removed, milliseconds. */
 const REMOVE_DEAD_DELAY_MS = 60_000;
+/** Writes allowed for per node that writes its presence object again, so that the store has room for other writes. */
+const WRITES_PER_REWRITE = 2;
+const MILLIS_PER_SECOND = 1_000;
 /** Longest backoff after failed calls to the store, milliseconds; lapsed entries must be restored within two seconds. */
 const MAX_STORE_BACKOFF_MS = 1_000;
 
@@ -89,6 +94,8 @@
   private closed = false;
   private cancelResends: Cancel = () => undefined;
   private unsubscribeRestored: () => void = () => undefined;
+  /** Whether a message of another node has been received. */
+  private hasContact = false;
 
   constructor(private readonly options: SidecarControlOptions<Config>) {
     this.watchDuty = new WatchDuty(options.timers.now(), {
@@ -104,11 +111,8 @@
   /** Starts to follow the configuration. */
   start(): void {
     this.updateMembers();
-    this.unsubscribeRestored = this.options.store.onRestored(storeEra =>
-      this.options.logger.warn('storeRestored', {
-        storeEra,
-        configVersion: this.config.version,
-      }),
+    this.unsubscribeRestored = this.options.store.onRestored(era =>
+      this.onStoreRestored(era),
     );
     void this.config.start();
     this.cancelResends = this.options.timers.every(RESEND_INTERVAL_MS, () =>
@@ -123,6 +127,7 @@
 
   /** Handles a message of another node and returns the answer. */
   receive(message: ExchangeMessage): ExchangeMessage {
+    this.hasContact = true;
     return this.member.receive(message);
   }
 
@@ -133,6 +138,7 @@
 
   /** Records that another node last had evidence of a watcher `ageMs` milliseconds ago. */
   recordWatcherSeen(ageMs: Millis): void {
+    this.hasContact = true;
     this.watchDuty.recordWatcherSeen(this.options.timers.now(), ageMs);
   }
 
@@ -214,6 +220,7 @@
         onLeavingInstances: events.onLeavingInstances,
         heldRevision: () => this.config.version,
         onConfigDelta: ({delta}) => this.config.offer(delta, 'peer'),
+        onStoreRestored: era => this.rewritePresence(era),
         onStatus: (nodeId, status, reason) =>
           this.onStatus(nodeId, status, reason),
         onFault: events.onFault,
@@ -244,11 +251,8 @@
       ownRecord: () => this.ownRecord(),
       onLeavingInstances: events.onLeavingInstances,
       onPeers: records => this.member.post({type: 'seed', records}),
-      onWritten: objectVersion =>
-        this.options.logger.info('presenceWritten', {
-          objectVersion,
-          storeEra: this.options.store.era,
-        }),
+      hasContact: () => this.hasContact,
+      onWritten: objectVersion => this.onPresenceWritten(objectVersion),
     });
   }
 
@@ -290,6 +294,33 @@
     return {version: 0, servers: [this.options.expectedServer()]};
   }
 
+  private onPresenceWritten(objectVersion: number): void {
+    const {store, logger} = this.options;
+    logger.info('presenceWritten', {objectVersion, storeEra: store.era});
+    this.member.post({type: 'setStoreEra', era: store.era});
+  }
+
+  private onStoreRestored(era: number): void {
+    this.options.logger.warn('storeRestored', {
+      storeEra: era,
+      configVersion: this.config.version,
+    });
+    this.member.post({type: 'setStoreEra', era});
+    this.rewritePresence(era);
+    // Objects of dead nodes that had been removed may be back.
+    for (const {address, status} of this.member.membership.records())
+      if (status === 'dead') this.scheduleRemoval(address.nodeId);
+  }
+
+  // Few nodes call the store regularly, so the others hear of a restore from them.
+  private rewritePresence(era: number): void {
+    const {storeWritesPerSecond} = this.options;
+    const nodes = this.member.membership.reachable().length;
+    const spreadMs =
+      (WRITES_PER_REWRITE * nodes * MILLIS_PER_SECOND) / storeWritesPerSecond;
+    this.presence.ensureWritten(era, spreadMs);
+  }
+
   // Nodes that become alive are not logged; only their number is reported.
   private onStatus(nodeId: string, status: string, reason: string): void {
     if (status === 'alive') return;
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -45,6 +45,8 @@
   readonly service: string;
   /** Time within which a configuration must be in force at all nodes, milliseconds. */
   readonly configApplyMs: number;
+  /** Writes per second that the store allows the whole fleet. */
+  readonly storeWritesPerSecond: number;
   readonly random?: () => number;
 }
 
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -119,9 +119,11 @@
     nonNegative,
     z.string(),
     z.boolean(),
+    nonNegative,
   ])
   .transform(([type, ref, watchedMs, from, records, news, ...rest]) => {
-    const [digest, buckets, configRevision, target, probeReached] = rest;
+    const [digest, buckets, configRevision, target, probeReached, storeEra] =
+      rest;
     return {
       type,
       ref,
@@ -133,6 +135,7 @@
         digest,
         buckets: decodeHashes(buckets),
         configRevision,
+        storeEra,
         probeTarget: target === '' ? undefined : target,
         probeReached,
       },
@@ -272,6 +275,7 @@
     message.configRevision,
     message.probeTarget ?? '',
     message.probeReached,
+    message.storeEra,
   ];
 }
 
--- a/packages/peers/src/datagram_codec_test.ts
+++ b/packages/peers/src/datagram_codec_test.ts
@@ -51,6 +51,7 @@
     digest: hash,
     buckets: fc.array(hash, {maxLength: 4}),
     configRevision: count,
+    storeEra: count,
     probeTarget: fc.option(name, {nil: undefined}),
     probeReached: fc.boolean(),
   }),
--- a/packages/protocol/src/exchange_codec.ts
+++ b/packages/protocol/src/exchange_codec.ts
@@ -35,6 +35,7 @@
     digest: message.digest,
     buckets: [...message.buckets],
     configRevision: message.configRevision,
+    storeEra: message.storeEra,
     probeTarget: message.probeTarget ?? '',
     probeReached: message.probeReached,
   });
@@ -56,6 +57,7 @@
     digest: wire.digest,
     buckets: wire.buckets,
     configRevision: wire.configRevision,
+    storeEra: wire.storeEra,
     probeTarget: wire.probeTarget === '' ? undefined : wire.probeTarget,
     probeReached: wire.probeReached,
   };
--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -44,6 +44,7 @@
 /** Time by which cheap reads lag behind writes. */
 const READ_LAG_MS = 3_000;
 const PAGE_SIZE = 50;
+const STORE_WRITES_PER_SECOND = 400;
 /**
  * The clock settles promises only when it handles an event or starts a run, so
  * long runs are split into steps.
@@ -247,6 +248,7 @@
       decodeConfig: text => ok(Number(text)),
       versionOf: version => version,
       configApplyMs,
+      storeWritesPerSecond: STORE_WRITES_PER_SECOND,
       expectedServer: () => serverRecordOf(index),
       events: {
         onMembers: () => undefined,
