Records with addresses that cannot be used are left out, and do not cost the others

What callers saw (report of other operators): one entry with a port out of range, and nodes ended again and again.

Cause: ports and counters of presence objects, datagrams, member tables and claims were any number. Node.js throws on a datagram to port 70000, within a promise that nothing handles. One invalid record cost the whole message that carried it.

Change: one validation of addresses and records at each decoder (IPv4 address, ports from 1 to 65535, counters that can still be raised exactly); an invalid record is skipped alone. A datagram that cannot be sent counts as lost and is logged.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -11,6 +11,7 @@
   recordHash,
 } from './member_record';
 export type {MemberRecord, MemberStatus} from './member_record';
+export {isValidAddress, isValidRecord} from './record_validation';
 export {MemberTable, BUCKETS} from './member_table';
 export {DomainContacts} from './domain_contacts';
 export {successorsOf} from './successors';
--- a/packages/node/src/gateway/claim_runner.ts
+++ b/packages/node/src/gateway/claim_runner.ts
@@ -8,6 +8,7 @@
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {ObjectStore, StoredObject} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
+import {isEndpoint} from '@goldcresthill/types';
 import * as z from 'zod';
 import type {BufferedAnswer} from '../gate/messages';
 import type {OwnerReply} from './gate_client';
@@ -35,15 +36,17 @@
   readonly onDecision: (decision: Readonly<Record<string, unknown>>) => void;
 }
 
-const claimRecordSchema = z.object({
-  token: z.string(),
-  fingerprint: z.string(),
-  gateway: z.string(),
-  incarnation: z.number(),
-  host: z.string(),
-  dataPort: z.number(),
-  claimedAtMs: z.number(),
-});
+const claimRecordSchema = z
+  .object({
+    token: z.string(),
+    fingerprint: z.string(),
+    gateway: z.string(),
+    incarnation: z.number(),
+    host: z.string(),
+    dataPort: z.number(),
+    claimedAtMs: z.number(),
+  })
+  .refine(({host, dataPort}) => isEndpoint(host, dataPort));
 
 /** Maximum share of the remaining time that a claim may take; the rest is left for the call. */
 const MAX_CLAIM_TIME_SHARE = 0.5;
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -1,6 +1,6 @@
 /** Presence objects in the store, by which nodes that start find each other. */
 import {isDeepStrictEqual} from 'node:util';
-import {mergeLeavingInstances} from '@goldcresthill/membership';
+import {isValidRecord, mergeLeavingInstances} from '@goldcresthill/membership';
 import type {MemberRecord} from '@goldcresthill/membership';
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {
@@ -307,7 +307,8 @@
 
 function parsePresence(text: string): PresenceValue | undefined {
   try {
-    return presenceSchema.parse(JSON.parse(text));
+    const value = presenceSchema.parse(JSON.parse(text));
+    return isValidRecord(toMemberRecord(value)) ? value : undefined;
   } catch {
     return undefined;
   }
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -190,12 +190,16 @@
     );
   }
 
-  // A send error is treated like a lost datagram.
+  // A send error is treated like a lost datagram. Invalid addresses are reported by an exception.
   private send(
     datagram: Datagram,
     to: Pick<NodeAddress, 'host' | 'controlPort'>,
   ): void {
     const text = encodeDatagram(datagram);
-    this.socket?.send(text, to.controlPort, to.host, () => undefined);
+    try {
+      this.socket?.send(text, to.controlPort, to.host, () => undefined);
+    } catch (err) {
+      this.options.events.onFault(err);
+    }
   }
 }
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -1,4 +1,5 @@
 /** Encodes datagrams as JSON arrays, which take half the bytes of objects. */
+import {isValidAddress, isValidRecord} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
   QuarantineUpdate,
@@ -50,7 +51,8 @@
       domain,
       region,
     }),
-  );
+  )
+  .refine(isValidAddress);
 
 const serverSchema = z
   .tuple([nonEmpty, nonNegative, nonNegative, z.string(), indexInto(STATES)])
@@ -78,7 +80,13 @@
     status,
     servers,
     leaving,
-  }));
+  }))
+  .refine(isValidRecord);
+
+/** Skips invalid records, so that one of them does not cost the others of its message. */
+const recordsSchema = z
+  .array(z.unknown())
+  .transform(items => items.flatMap(parseRecord));
 
 const updateSchema = z
   .tuple([z.string(), z.string(), nonNegative])
@@ -112,7 +120,7 @@
     nonNegative,
     nonNegative,
     addressSchema,
-    z.array(recordSchema),
+    recordsSchema,
     z.array(updateSchema),
     nonNegative,
     z.string(),
@@ -226,11 +234,12 @@
   } catch {
     return [];
   }
-  if (!Array.isArray(value)) return [];
-  return value.flatMap(item => {
-    const parsed = recordSchema.safeParse(item);
-    return parsed.success ? [parsed.data] : [];
-  });
+  return Array.isArray(value) ? value.flatMap(parseRecord) : [];
+}
+
+function parseRecord(item: unknown): MemberRecord[] {
+  const parsed = recordSchema.safeParse(item);
+  return parsed.success ? [parsed.data] : [];
 }
 
 function datagramToTuple(datagram: Datagram): unknown[] {
--- a/packages/protocol/src/exchange_codec.ts
+++ b/packages/protocol/src/exchange_codec.ts
@@ -1,5 +1,6 @@
 /** Converts exchange messages between plain objects and generated protobuf messages. */
 import {create} from '@bufbuild/protobuf';
+import {isValidAddress, isValidRecord} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
   QuarantineUpdate,
@@ -42,7 +43,7 @@
 }
 
 /**
- * Decodes a protobuf message; undefined if the sender's address is missing.
+ * Decodes a protobuf message; undefined if the sender's address is missing or invalid.
  * Records and news that are incomplete or of an unknown kind are skipped.
  */
 export function decodeExchange(
@@ -64,10 +65,11 @@
 }
 
 function decodeAddress(wire: WireAddress | undefined): NodeAddress | undefined {
-  if (wire === undefined || wire.nodeId === '' || wire.host === '')
-    return undefined;
+  if (wire === undefined) return undefined;
   const {nodeId, bootId, host, dataPort, controlPort, domain, region} = wire;
-  return {nodeId, bootId, host, dataPort, controlPort, domain, region};
+  const ports = {dataPort, controlPort};
+  const address = {nodeId, bootId, host, ...ports, domain, region};
+  return isValidAddress(address) ? address : undefined;
 }
 
 function decodeRecord(wire: WireRecord): MemberRecord[] {
@@ -81,15 +83,9 @@
     instance: server.instance,
     state: SERVER_STATES.find(known => known === server.state) ?? 'down',
   }));
-  return [
-    {
-      address,
-      incarnation: wire.incarnation,
-      version: wire.version,
-      status,
-      servers,
-    },
-  ];
+  const {incarnation, version} = wire;
+  const record = {address, incarnation, version, status, servers};
+  return isValidRecord(record) ? [record] : [];
 }
 
 function decodeNews(wire: WireNews): QuarantineUpdate[] {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -7,4 +7,5 @@
 export {InvariantError, invariant, invariantCount} from './invariant';
 export {MECHANISMS, withoutMechanisms} from './mechanism';
 export type {Mechanism} from './mechanism';
+export {isEndpoint} from './endpoint';
 export {expectedWorkTime} from './work_time';
