Tickets that a restored store has lost are written to it again

What operators would see: a ticket answered 'accepted' that is never in force, or one that is gone with the nodes that held it.

After a restore a ticket was based on the older configuration of the store and got a revision that nodes had already seen, so that they ignored it; or the node that read it broke the invariant that no service reverts. What the store had lost lived in the nodes alone.

Change: a node that hears of a restore, or reads a configuration that lacks tickets in force, reads the store and writes the merge of both, the newest ticket of each service, under a condition. A submission is based on the same merge. Entries that differ get the new revision, so that the delta to any node contains them. An object that cannot be read is left alone.

Not covered: a ticket that was accepted in the lost span and that no node has any more; it can't be answered differently afterwards.

--- a/packages/node/src/config/config_task.ts
+++ b/packages/node/src/config/config_task.ts
@@ -9,6 +9,9 @@
 import {
   CONFIGURATION_PATH,
   ConfigurationHolder,
+  EMPTY_CONFIGURATION,
+  lacksTickets,
+  mergeConfigurations,
   parseConfiguration,
   TicketSubmission,
 } from '@goldcresthill/tickets';
@@ -20,6 +23,7 @@
   TicketAnswer,
 } from '@goldcresthill/tickets';
 import type {ConfigDelta} from '../member/peer_links';
+import {ok} from 'neverthrow';
 import {Task} from '../task';
 
 /** Messages to the configuration task. */
@@ -55,6 +59,8 @@
 /** Average interval at which a node that does not watch reads the configuration, milliseconds. */
 const READ_INTERVAL_MS = 300_000;
 const RETRY_DELAY_MS = 200;
+/** Time over which the nodes check whether a restored store lacks tickets, milliseconds. */
+const WRITE_BACK_SPREAD_MS = 1_000;
 /** Time after which a submission is answered as undetermined, milliseconds. */
 const SUBMIT_DEADLINE_MS = 10_000;
 
@@ -66,6 +72,7 @@
   private storeAnsweredAt = -Infinity;
   private isWatcher = false;
   private isFollowing = false;
+  private isWritingBack = false;
   private readonly unsubscribeRestored: () => void;
 
   constructor(private readonly options: ConfigTaskOptions) {
@@ -73,6 +80,10 @@
     this.adoptedAt = options.timers.now();
     this.unsubscribeRestored = options.store.onRestored(() => {
       this.objectVersion = 0;
+      options.timers.after(
+        options.random() * WRITE_BACK_SPREAD_MS,
+        () => void this.writeBack(),
+      );
     });
   }
 
@@ -121,6 +132,7 @@
           this.options,
           message.ticket,
           message.reply,
+          () => this.holder.current,
           configuration =>
             this.post({type: 'adopt', configuration, source: 'own ticket'}),
         ).start();
@@ -141,14 +153,59 @@
   private applyDelta({since, delta}: ConfigDelta): void {
     const parsed = parseConfiguration(delta);
     if (parsed.isErr()) return;
+    const services = {...this.current.services, ...parsed.value.services};
+    if (lacksTickets({...parsed.value, services}, this.current)) {
+      void this.writeBack();
+      return;
+    }
     if (this.holder.adoptDelta(since, parsed.value) === 'adopted')
       this.publish('peer');
   }
 
   private adopt(configuration: Configuration, source: string): void {
+    if (lacksTickets(configuration, this.current)) {
+      void this.writeBack();
+      return;
+    }
     if (this.holder.adopt(configuration) === 'adopted') this.publish(source);
   }
 
+  /** Writes the tickets in force to the store if it lacks some, as it does after it was restored from an older copy. */
+  private async writeBack(): Promise<void> {
+    if (this.isWritingBack) return;
+    this.isWritingBack = true;
+    let isDone = false;
+    while (!isDone && !this.closed) {
+      isDone = await this.tryWriteBack();
+      const {breaker, timers} = this.options;
+      const waitMs = Math.max(RETRY_DELAY_MS, breaker.waitMs(timers.now()));
+      if (!isDone) await timers.sleep(waitMs);
+    }
+    this.isWritingBack = false;
+  }
+
+  private async tryWriteBack(): Promise<boolean> {
+    const {store} = this.options;
+    const found = await store.get(CONFIGURATION_PATH);
+    if (found.isErr()) return false;
+    const stored =
+      found.value === undefined
+        ? ok<Configuration, string>(EMPTY_CONFIGURATION)
+        : parseConfiguration(found.value.value);
+    // An object that cannot be read is not overwritten; following it reports the fault.
+    if (stored.isErr() || !lacksTickets(stored.value, this.current))
+      return true;
+    const configuration = mergeConfigurations(this.current, stored.value);
+    const written = await store.put(
+      CONFIGURATION_PATH,
+      JSON.stringify(configuration),
+      found.value?.version ?? 0,
+    );
+    if (written.isErr()) return false;
+    this.post({type: 'adopt', configuration, source: 'written back'});
+    return true;
+  }
+
   private publish(source: string): void {
     this.adoptedAt = this.options.timers.now();
     this.options.onConfiguration(this.holder.current, source);
@@ -236,6 +293,7 @@
     private readonly options: ConfigTaskOptions,
     ticket: Ticket,
     private readonly reply: (answer: TicketAnswer) => void,
+    private readonly inForce: () => Configuration,
     private readonly adopt: (configuration: Configuration) => void,
   ) {
     this.submission = new TicketSubmission(ticket);
@@ -277,12 +335,14 @@
     const result = await this.options.store.get(CONFIGURATION_PATH);
     if (result.isErr()) return this.handle({type: 'storeFailed'});
     if (result.value === undefined) {
-      return this.handle({type: 'read', configuration: undefined, version: 0});
+      const configuration = this.inForce();
+      return this.handle({type: 'read', configuration, version: 0});
     }
     const parsed = parseConfiguration(result.value.value);
     if (parsed.isErr()) return this.handle({type: 'storeFailed'});
     const {version} = result.value;
-    this.handle({type: 'read', configuration: parsed.value, version});
+    const configuration = withTickets(parsed.value, this.inForce());
+    this.handle({type: 'read', configuration, version});
   }
 
   private async write(
@@ -299,3 +359,13 @@
     else this.handle({type: 'storeFailed'});
   }
 }
+
+// A ticket is based on the configuration in force where the store has lost some of it.
+function withTickets(
+  stored: Configuration,
+  inForce: Configuration,
+): Configuration {
+  return lacksTickets(stored, inForce)
+    ? mergeConfigurations(inForce, stored)
+    : stored;
+}
--- a/packages/tickets/src/configuration.ts
+++ b/packages/tickets/src/configuration.ts
@@ -132,6 +132,40 @@
   return {...configuration, services: Object.fromEntries(entries)};
 }
 
+/** Whether a configuration lacks a ticket of another one, as a store does that was restored from an older copy. */
+export function lacksTickets(
+  configuration: Configuration,
+  other: Configuration,
+): boolean {
+  return Object.entries(other.services).some(
+    ([name, {ticket}]) => ticket > (configuration.services[name]?.ticket ?? 0),
+  );
+}
+
+/**
+ * Merges two configurations of which each may lack tickets of the other. The
+ * newest ticket of each service wins. Entries that differ get the new revision,
+ * so that the delta to either configuration contains them.
+ */
+export function mergeConfigurations(
+  a: Configuration,
+  b: Configuration,
+): Configuration {
+  const revision = Math.max(a.revision, b.revision) + 1;
+  const services: Record<string, ServiceEntry> = {};
+  for (const name of Object.keys({...a.services, ...b.services})) {
+    const [ofA, ofB] = [a.services[name], b.services[name]];
+    const entry = (ofA?.ticket ?? 0) >= (ofB?.ticket ?? 0) ? ofA : ofB;
+    if (entry === undefined) continue;
+    const isSame =
+      ofA?.ticket === ofB?.ticket && ofA?.revision === ofB?.revision;
+    services[name] = isSame ? entry : {...entry, revision};
+  }
+  const known = new Set(a.recent.map(({number}) => number));
+  const recent = [...b.recent.filter(r => !known.has(r.number)), ...a.recent];
+  return {revision, services, recent: recent.slice(-MAX_RECENT_TICKETS)};
+}
+
 /** Asserts that the revision increases and that no service reverts to an earlier ticket. */
 export function assertNoRevert(from: Configuration, to: Configuration): void {
   invariant(
--- a/packages/tickets/src/index.ts
+++ b/packages/tickets/src/index.ts
@@ -7,6 +7,8 @@
   configurationSchema,
   deltaSince,
   EMPTY_CONFIGURATION,
+  lacksTickets,
+  mergeConfigurations,
   parseConfiguration,
 } from './configuration';
 export type {
