Claims on idempotency keys are written again after the store was restored

What callers would see: a call that is sent again with its key after a restore runs a second time.

A gateway's right to run a keyed call rests on one acknowledged create.

Change: a gateway keeps the claims of the last 60 s that it won and creates them again when the store turns out to have been restored, the newest first, retried until the store answers. If another call has claimed the key meanwhile, its claim stays and a fault is logged, as both may have run.

Not covered: between the restore and the writing a lost key can be claimed again; nothing in the store shows that it was.

--- a/packages/node/src/config/config_task.ts
+++ b/packages/node/src/config/config_task.ts
@@ -22,8 +22,8 @@
   Ticket,
   TicketAnswer,
 } from '@goldcresthill/tickets';
-import type {ConfigDelta} from '../member/peer_links';
 import {ok} from 'neverthrow';
+import type {ConfigDelta} from '../member/peer_links';
 import {Task} from '../task';
 
 /** Messages to the configuration task. */
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -1,5 +1,5 @@
 /** Handles a call from its quarantine check through its claim and its attempts to its outcome, without sockets. */
-import {KeyedOutcomes} from '@goldcresthill/attempts';
+import {claimPath, KeyedOutcomes} from '@goldcresthill/attempts';
 import type {ClaimRecord, OwnerAnswer} from '@goldcresthill/attempts';
 import {answerFor} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
@@ -13,6 +13,7 @@
 import {CallRunner} from './call_runner';
 import type {CallEnvironment, CallOutcome} from './call_runner';
 import {ClaimRunner} from './claim_runner';
+import {RecentClaims} from './recent_claims';
 import {LoadQueryRunner} from './load_query_runner';
 import type {LoadQueryOutcome, SendLoadQuery} from './load_query_runner';
 import type {OutgoingCall, OwnerReply} from './gate_client';
@@ -64,9 +65,22 @@
 export class CallHandler {
   readonly quarantine = new Quarantine();
   private readonly outcomes = new KeyedOutcomes<BufferedAnswer>();
+  private readonly recentClaims: RecentClaims;
   private claimSeq = 0;
 
-  constructor(private readonly options: CallHandlerOptions) {}
+  constructor(private readonly options: CallHandlerOptions) {
+    const {store, timers, onFault} = options;
+    this.recentClaims = new RecentClaims({
+      store,
+      timers,
+      onTaken: path =>
+        onFault(new Error(`lost claim ${path} was taken by another call`)),
+    });
+  }
+
+  close(): void {
+    this.recentClaims.close();
+  }
 
   /** Handles a call; `done` is called once. */
   handle(
@@ -110,28 +124,32 @@
     const {attributes} = handled.call;
     const token = `${address.nodeId}:${address.bootId}:${this.claimSeq++}`;
     this.outcomes.begin(timers.now(), token);
+    const {service, key = ''} = attributes;
+    const record = {
+      token,
+      fingerprint: handled.fingerprint(),
+      gateway: address.nodeId,
+      incarnation: address.bootId,
+      host: address.host,
+      dataPort: address.dataPort,
+      claimedAtMs: timers.wall(),
+    };
     const runner = new ClaimRunner(
       {
         timers,
         store,
         askOwner: this.options.askOwner,
-        service: attributes.service,
-        key: attributes.key ?? '',
+        service,
+        key,
         remainingMs: attributes.deadline - timers.now(),
-        record: {
-          token,
-          fingerprint: handled.fingerprint(),
-          gateway: address.nodeId,
-          incarnation: address.bootId,
-          host: address.host,
-          dataPort: address.dataPort,
-          claimedAtMs: timers.wall(),
-        },
+        record,
         onFault: this.options.onFault,
         onDecision: decision => this.recordDecision(handled, decision),
       },
       outcome => {
         if (outcome.type === 'run') {
+          const path = claimPath(service, key);
+          this.recentClaims.add(path, JSON.stringify(record));
           this.run(handled, token, done);
           return;
         }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -155,6 +155,7 @@
   override async close(): Promise<void> {
     this.closed = true;
     this.cancelEviction();
+    this.handler.close();
     await this.listener.close();
     await this.links.close();
   }
--- /dev/null
+++ b/packages/node/src/gateway/recent_claims.ts
@@ -0,0 +1,71 @@
+/** Claims that this gateway wrote recently, which a store restored from an older copy may have lost. */
+import type {ObjectStore} from '@goldcresthill/object-store';
+import type {Timers} from '@goldcresthill/timers';
+import type {Millis} from '@goldcresthill/types';
+
+/** Options of RecentClaims. */
+export interface RecentClaimsOptions {
+  readonly store: ObjectStore;
+  readonly timers: Timers;
+  /** Another call has claimed the key since the restore, so both may have run. */
+  readonly onTaken: (path: string) => void;
+}
+
+interface RecentClaim {
+  readonly path: string;
+  readonly text: string;
+  readonly writtenAt: Millis;
+}
+
+/** Time for which a claim is kept to be written again, milliseconds; longer than the age of the copies from which a store is restored. */
+const RETENTION_MS = 60_000;
+/** Claims beyond which the oldest are dropped. */
+const MAX_CLAIMS = 20_000;
+/** Delay before the store is called again after a failure, milliseconds. */
+const RETRY_DELAY_MS = 200;
+
+/** Writes the recent claims again when the store was restored. Until then a key that was claimed in the lost span can be claimed again. */
+export class RecentClaims {
+  private readonly claims: RecentClaim[] = [];
+  private readonly unsubscribeRestored: () => void;
+  private run = 0;
+
+  constructor(private readonly options: RecentClaimsOptions) {
+    this.unsubscribeRestored = options.store.onRestored(
+      () => void this.writeAll(),
+    );
+  }
+
+  /** Records a claim that is in the store. */
+  add(path: string, text: string): void {
+    const now = this.options.timers.now();
+    this.claims.push({path, text, writtenAt: now});
+    const firstKept = this.claims.findIndex(
+      ({writtenAt}) => now - writtenAt < RETENTION_MS,
+    );
+    this.claims.splice(0, Math.max(firstKept, this.claims.length - MAX_CLAIMS));
+  }
+
+  close(): void {
+    this.unsubscribeRestored();
+    this.run++;
+  }
+
+  // The newest claims come first, as the copy is more likely to contain the older ones.
+  private async writeAll(): Promise<void> {
+    const {timers} = this.options;
+    const run = ++this.run;
+    for (const claim of [...this.claims].reverse()) {
+      while (run === this.run && !(await this.write(claim)))
+        await timers.sleep(RETRY_DELAY_MS);
+    }
+  }
+
+  private async write({path, text}: RecentClaim): Promise<boolean> {
+    const creation = await this.options.store.create(path, text);
+    if (creation.isErr()) return false;
+    const {created, object} = creation.value;
+    if (!created && object.value !== text) this.options.onTaken(path);
+    return true;
+  }
+}
