--- a/packages/trials/src/member/sidecar_simulation_test.ts
+++ b/packages/trials/src/member/sidecar_simulation_test.ts
@@ -137,6 +137,7 @@
       const copy = fleet.platform.copy();
       for (let i = 0; i < 5; i++) await changeConfig(fleet);
       await restoreStore(fleet, copy);
+      expect(fleet.isInForce(6)).toBe(true);
       expect(await changeConfig(fleet)).toBeDefined();
     });
 
