A refusal without an id ends the connection to its server

What callers could see in the product's own frame: told that a call had not run which a server was running.

Cause: servers of the own interface refuse by status alone (shedStatuses), so that a copy of an earlier refusal, written with the next request on a kept connection, refused that request.

Change: interfaces say whether answers carry the id of their request. If not, a refusal ends with its head and its connection is closed.

Cost: one new connection for each such refusal; gates keep requests within the server's slots, so that they are rare.

--- a/packages/node/src/gate/server_interface.ts
+++ b/packages/node/src/gate/server_interface.ts
@@ -31,6 +31,8 @@
 
 /** Request headers that a server expects, and the interpretation of its answers. */
 export abstract class ServerInterface {
+  /** Whether each answer carries the id of its request, so that a refusal cannot be taken for that of another request. */
+  abstract readonly answersCarryRequestId: boolean;
   /** Returns the request headers for the server. */
   abstract headersFor(
     req: AttemptRequest,
@@ -55,6 +57,8 @@
 
 /** The default interface, with headers that begin with `gh-`. */
 export class OwnServerInterface extends ServerInterface {
+  override readonly answersCarryRequestId: boolean = false;
+
   override headersFor(
     req: AttemptRequest,
     _instance: string,
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -285,6 +285,11 @@
         accepts: (status, head) =>
           serverInterface.classifyAnswer(req, status, head, this.rules) !==
           'invalid',
+        // A faulty server may write a refusal again on the connection.
+        endsConnection: (status, head) =>
+          !serverInterface.answersCarryRequestId &&
+          serverInterface.classifyAnswer(req, status, head, this.rules) ===
+            'notRun',
       },
       result => {
         cancelTimer();
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -15,6 +15,11 @@
   readonly maxBufferedBytes: number;
   /** Whether an answer with this status and these headers belongs to the request; if not, its connection is closed. */
   readonly accepts?: (status: number, headers: IncomingHttpHeaders) => boolean;
+  /** Whether an answer with this status and these headers ends with its head, after which its connection is closed. */
+  readonly endsConnection?: (
+    status: number,
+    headers: IncomingHttpHeaders,
+  ) => boolean;
 }
 
 /** Body of an answer: `whole` if it is buffered completely, else `stream`. */
@@ -113,6 +118,11 @@
     this.headers = headers;
     if (this.req.accepts?.(status, headers) === false) {
       controller.abort(new Error(INVALID_ANSWER));
+      return;
+    }
+    if (this.req.endsConnection?.(status, headers) === true) {
+      this.finish({type: 'whole', bytes: EMPTY_BODY});
+      controller.abort(new Error('connection not reused'));
     }
   }
 
