Trial of restores that overlap with restarts, changes, leavings and outages

Nine nodes in virtual time, 24 random steps, messages lost at 1%: the store is restored from copies up to 9 s old, nodes are killed and start, the configuration changes, servers leave, nodes are cut off from the store. No process may return to an older configuration; once all has ended, all nodes know each other, have the newest configuration, and leavings written by processes that still run are in the store.

--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -98,12 +98,23 @@
 
   /** Writes the next configuration and returns its version. */
   changeConfig(): number {
+    this.configVersion++;
+    this.rewriteConfig();
+    return this.configVersion;
+  }
+
+  /** Writes the newest configuration again, as an operator does after a restore of the store. */
+  rewriteConfig(): void {
     const current = this.platform.get(CONFIG_PATH)?.version ?? 0;
-    const value = String(++this.configVersion);
+    const value = String(this.configVersion);
     const outcome = this.platform.put(CONFIG_PATH, value, current);
     if (outcome.type === 'conflict')
       throw new RangeError('configuration write conflicted');
     StaleStore.recordWrite(this.platform, outcome.version, this.clock.now);
+  }
+
+  /** Version of the configuration that was written last. */
+  get newestConfigVersion(): number {
     return this.configVersion;
   }
 
