--- a/packages/node/src/gateway/recent_claims.ts
+++ b/packages/node/src/gateway/recent_claims.ts
@@ -28,7 +28,7 @@
 export class RecentClaims {
   private readonly claims: RecentClaim[] = [];
   private readonly unsubscribeRestored: () => void;
-  private run = 0;
+  private pass = 0;
 
   constructor(private readonly options: RecentClaimsOptions) {
     this.unsubscribeRestored = options.store.onRestored(
@@ -48,15 +48,15 @@
 
   close(): void {
     this.unsubscribeRestored();
-    this.run++;
+    this.pass++;
   }
 
   // The newest claims come first, as the copy is more likely to contain the older ones.
   private async writeAll(): Promise<void> {
     const {timers} = this.options;
-    const run = ++this.run;
+    const pass = ++this.pass;
     for (const claim of [...this.claims].reverse()) {
-      while (run === this.run && !(await this.write(claim)))
+      while (pass === this.pass && !(await this.write(claim)))
         await timers.sleep(RETRY_DELAY_MS);
     }
   }
