Claims are written again with a spread and backoff

All gateways notice a restore at the same time; without a delay their claims would go to the store at once, and again every 200 ms. Found in reading the change. recent_claims_test.ts as before; suites of gateway and call trials pass.

--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -78,6 +78,7 @@
     });
   }
 
+  /** Ends what the handler does by itself; calls in progress continue. */
   close(): void {
     this.recentClaims.close();
   }
--- a/packages/node/src/gateway/recent_claims.ts
+++ b/packages/node/src/gateway/recent_claims.ts
@@ -1,4 +1,5 @@
 /** Claims that this gateway wrote recently, which a store restored from an older copy may have lost. */
+import {StoreBreaker} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import type {Timers} from '@goldcresthill/timers';
 import type {Millis} from '@goldcresthill/types';
@@ -7,6 +8,7 @@
 export interface RecentClaimsOptions {
   readonly store: ObjectStore;
   readonly timers: Timers;
+  readonly random?: () => number;
   /** Another call has claimed the key since the restore, so both may have run. */
   readonly onTaken: (path: string) => void;
 }
@@ -21,16 +23,20 @@
 const RETENTION_MS = 60_000;
 /** Claims beyond which the oldest are dropped. */
 const MAX_CLAIMS = 20_000;
-/** Delay before the store is called again after a failure, milliseconds. */
-const RETRY_DELAY_MS = 200;
+/** Largest random delay before the first claim is written, milliseconds, because all gateways notice a restore at the same time. */
+const SPREAD_MS = 1_000;
 
 /** Writes the recent claims again when the store was restored. Until then a key that was claimed in the lost span can be claimed again. */
 export class RecentClaims {
   private readonly claims: RecentClaim[] = [];
   private readonly unsubscribeRestored: () => void;
+  private readonly random: () => number;
+  private readonly breaker: StoreBreaker;
   private pass = 0;
 
   constructor(private readonly options: RecentClaimsOptions) {
+    this.random = options.random ?? Math.random;
+    this.breaker = new StoreBreaker({random: this.random});
     this.unsubscribeRestored = options.store.onRestored(
       () => void this.writeAll(),
     );
@@ -55,9 +61,13 @@
   private async writeAll(): Promise<void> {
     const {timers} = this.options;
     const pass = ++this.pass;
+    await timers.sleep(this.random() * SPREAD_MS);
     for (const claim of [...this.claims].reverse()) {
-      while (pass === this.pass && !(await this.write(claim)))
-        await timers.sleep(RETRY_DELAY_MS);
+      while (pass === this.pass && !(await this.write(claim))) {
+        this.breaker.fail(timers.now());
+        await timers.sleep(this.breaker.waitMs(timers.now()));
+      }
+      this.breaker.succeed();
     }
   }
 
--- a/packages/node/src/gateway/recent_claims_test.ts
+++ b/packages/node/src/gateway/recent_claims_test.ts
@@ -31,6 +31,7 @@
   claims = new RecentClaims({
     store,
     timers: new VirtualTimers(clock),
+    random: () => 0.5,
     onTaken: path => taken.push(path),
   });
 });
