--- a/review/lib/traffic.mjs
+++ b/review/lib/traffic.mjs
@@ -16,16 +16,16 @@
 ];
 
 const KINDS = [
-  {method: 'GET', path: '/stock/2f', body: ''},
-  {method: 'POST', path: '/place/2f', body: 'one order'},
-  {method: 'PUT', path: '/book/2f', body: 'one booking'},
-  {method: 'GET', path: '/check/2f', body: ''},
+  {method: 'GET', path: '/stock/item', body: ''},
+  {method: 'POST', path: '/place/item', body: 'one order'},
+  {method: 'PUT', path: '/book/item', body: 'one booking'},
+  {method: 'GET', path: '/check/item', body: ''},
 ];
 
 /** Starts nodes, servers and clients, and waits until all processes are in touch. */
 export async function startFleet(context, options = {}) {
   const {recorder} = context;
-  const {workMs = 120, clients = 5, server = {}} = options;
+  const {workMs = 120, clients = 5, items = 1, server = {}} = options;
   const runs = new Map();
   const fleet = new Fleet(recorder, SERVICES);
   context.fleet = fleet;
@@ -46,7 +46,11 @@
         outbound: machine.outbound,
         virtualHost: VIRTUAL_HOST,
         pauseMs: 60,
-        makeRequest: () => ({...KINDS[(i + Math.floor(Math.random() * 4)) % 4], deadlineMs: DEADLINE_MS}),
+        makeRequest: () => {
+          const kind = KINDS[(i + Math.floor(Math.random() * 4)) % 4];
+          const item = Math.floor(Math.random() * items);
+          return {...kind, path: `${kind.path}${item}`, deadlineMs: DEADLINE_MS};
+        },
       }),
     ),
   );
