--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,7 +14,7 @@
 
 await runCase(import.meta.url, async context => {
   const {recorder, trouble} = context;
-  const {fleet, runs, clients} = await startFleet(context);
+  const {fleet, runs, clients} = await startFleet(context, {clients: 8});
   await sleep(2_000);
   for (const machine of fleet.machines.slice(0, REPORTED_MACHINES)) {
     const id = trouble ? UNREADABLE_ID : READABLE_ID;
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -10,16 +10,28 @@
   const recorder = new Recorder(join(dirname(fileURLToPath(url)), 'record.txt'));
   const context = {recorder, trouble: process.env.TROUBLE !== '0', fleet: undefined};
   let exitCode = 2;
+  let isEnding = false;
   const limit = setTimeout(() => {
     recorder.say('time limit reached');
     void end();
   }, LIMIT_MS);
   const end = async () => {
+    if (isEnding) return;
+    isEnding = true;
     clearTimeout(limit);
     await context.fleet?.close();
     await recorder.close();
     process.exit(exitCode);
   };
+  // Whatever goes wrong here, no process is left behind.
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, err => {
+      if (isEnding) return;
+      recorder.say(`could not run: ${err?.stack}`);
+      exitCode = 2;
+      void end();
+    });
+  }
   process.on('SIGTERM', () => void end());
   process.on('SIGINT', () => void end());
   try {
--- a/review/lib/traffic.mjs
+++ b/review/lib/traffic.mjs
@@ -47,7 +47,7 @@
         virtualHost: VIRTUAL_HOST,
         pauseMs: 60,
         makeRequest: () => {
-          const kind = KINDS[(i + Math.floor(Math.random() * 4)) % 4];
+          const kind = KINDS[(i + Math.floor(Math.random() * KINDS.length)) % KINDS.length];
           const item = Math.floor(Math.random() * items);
           return {...kind, path: `${kind.path}${item}`, deadlineMs: DEADLINE_MS};
         },
