--- a/packages/cli/src/commands/node/index.ts
+++ b/packages/cli/src/commands/node/index.ts
@@ -1,4 +1,5 @@
 /** `goldcresthill node`: runs the node of a VM. */
+import {runGuarded} from '@goldcresthill/errors';
 import {formatIssues} from '@goldcresthill/ini-document';
 import {Logger} from '@goldcresthill/logger';
 import {Node} from '@goldcresthill/node';
@@ -45,7 +46,8 @@
   const node = new Node({settings, store, logger});
   await node.start();
   const stop = (): void => {
-    void node.shutDown().then(unfinished => {
+    runGuarded(exitOnFault, async () => {
+      const unfinished = await node.shutDown();
       logger.close();
       process.exitCode = unfinished === 0 ? EXIT.ok : EXIT.unfinished;
       setImmediate(() => process.exit());
@@ -54,3 +56,8 @@
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
 }
+
+function exitOnFault(err: unknown): void {
+  printError(String(err));
+  process.exit(EXIT.failed);
+}
--- a/packages/cli/src/commands/stand_in/index.ts
+++ b/packages/cli/src/commands/stand_in/index.ts
@@ -6,6 +6,7 @@
   seededRandom,
 } from '@goldcresthill/test-utils';
 import {command, number, option, string, subcommands} from 'cmd-ts';
+import {printError} from '../../output';
 
 const port = option({type: number, long: 'port', defaultValue: () => 0});
 
@@ -52,7 +53,7 @@
     });
     await announcer.start();
     process.once('SIGTERM', () => {
-      void announcer.drain();
+      announcer.drain().catch(err => printError(String(err)));
       setTimeout(() => process.exit(0), 2_000);
     });
   },
--- a/packages/cli/src/exit_codes.ts
+++ b/packages/cli/src/exit_codes.ts
@@ -14,4 +14,6 @@
   unreachable: 5,
   /** It could not be determined in time whether a ticket was accepted. */
   undetermined: 6,
+  /** An unexpected error ended the command. */
+  failed: 7,
 } as const;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,9 @@
 /** Entry point of the program. */
+import {EXIT} from './exit_codes';
+import {printError} from './output';
 import {runCommandLine} from './command_line';
 
-void runCommandLine(process.argv.slice(2));
+runCommandLine(process.argv.slice(2)).catch(err => {
+  printError(String(err));
+  process.exitCode = EXIT.failed;
+});
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -2,3 +2,5 @@
 export type {ErrorAnswer, ErrorKind} from './error_kinds';
 export {ERROR_ANSWERS, answerFor, isErrorKind} from './error_kinds';
 export {BalancerError} from './balancer_error';
+export {runGuarded} from './fault_boundary';
+export type {FaultListener} from './fault_boundary';
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -1,4 +1,5 @@
 /** Follows the store object that holds the configuration. */
+import type {FaultListener} from '@goldcresthill/errors';
 import type {
   ObjectStore,
   StoreBreaker,
@@ -27,6 +28,7 @@
   readonly onStoreReachable: (reachable: boolean) => void;
   /** The object was rejected as invalid; the configuration in force stays. */
   readonly onInvalid: (reason: string) => void;
+  readonly onFault: FaultListener;
 }
 
 /** Interval at which a node checks whether it has become a watcher, milliseconds. */
@@ -60,7 +62,7 @@
   /** Reads the object and follows its changes until closed. */
   async start(): Promise<void> {
     while (!this.closed) {
-      const waitMs = await this.readOnce();
+      const waitMs = await this.readOnce().catch(err => this.recordFault(err));
       if (waitMs > 0) await this.pause(waitMs);
     }
   }
@@ -128,6 +130,14 @@
     return this.applyObject(read.value, usesWatch ? 'watch' : 'read');
   }
 
+  // An object that cannot be handled must not end the watch for later ones.
+  private recordFault(err: unknown): number {
+    const {breaker, timers, onFault} = this.options;
+    onFault(err);
+    breaker.fail(timers.now());
+    return breaker.waitMs(timers.now());
+  }
+
   private get watchMs(): number {
     const renewalMs = this.options.watcherCount() * FLEET_RENEWAL_MS;
     return Math.min(MAX_WATCH_MS, Math.max(MIN_WATCH_MS, renewalMs));
--- a/packages/node/src/config/config_task.ts
+++ b/packages/node/src/config/config_task.ts
@@ -1,4 +1,5 @@
 /** Task that follows the configuration in the store and submits change tickets. */
+import {runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {
   ObjectStore,
@@ -80,16 +81,15 @@
     this.adoptedAt = options.timers.now();
     this.unsubscribeRestored = options.store.onRestored(() => {
       this.objectVersion = 0;
-      options.timers.after(
-        options.random() * WRITE_BACK_SPREAD_MS,
-        () => void this.writeBack(),
+      options.timers.after(options.random() * WRITE_BACK_SPREAD_MS, () =>
+        this.runDetached(() => this.writeBack()),
       );
     });
   }
 
   /** Reads the configuration and starts to follow it. */
   start(): void {
-    void this.follow();
+    this.runDetached(() => this.follow());
   }
 
   get current(): Configuration {
@@ -144,10 +144,14 @@
     this.options.onFault(err);
   }
 
+  private runDetached(work: () => Promise<void>): void {
+    runGuarded(this.options.onFault, work);
+  }
+
   private setWatcher(isWatcher: boolean): void {
     const started = isWatcher && !this.isWatcher;
     this.isWatcher = isWatcher;
-    if (started && !this.isFollowing) void this.follow();
+    if (started && !this.isFollowing) this.runDetached(() => this.follow());
   }
 
   private applyDelta({since, delta}: ConfigDelta): void {
@@ -155,7 +159,7 @@
     if (parsed.isErr()) return;
     const services = {...this.current.services, ...parsed.value.services};
     if (lacksTickets({...parsed.value, services}, this.current)) {
-      void this.writeBack();
+      this.runDetached(() => this.writeBack());
       return;
     }
     if (this.holder.adoptDelta(since, parsed.value) === 'adopted')
@@ -164,7 +168,7 @@
 
   private adopt(configuration: Configuration, source: string): void {
     if (lacksTickets(configuration, this.current)) {
-      void this.writeBack();
+      this.runDetached(() => this.writeBack());
       return;
     }
     if (this.holder.adopt(configuration) === 'adopted') this.publish(source);
@@ -233,7 +237,8 @@
   private scheduleRead(): void {
     const waitMs = READ_INTERVAL_MS * (0.5 + this.options.random());
     this.options.timers.after(waitMs, () => {
-      if (!this.isFollowing && !this.closed) void this.follow();
+      if (!this.isFollowing && !this.closed)
+        this.runDetached(() => this.follow());
     });
   }
 
@@ -313,12 +318,13 @@
   private execute(command: SubmissionCommand): void {
     switch (command.type) {
       case 'read':
-        this.options.timers.after(command.afterMs, () => void this.read());
+        this.options.timers.after(command.afterMs, () =>
+          runGuarded(this.options.onFault, () => this.read()),
+        );
         return;
       case 'write':
-        this.options.timers.after(
-          command.afterMs,
-          () => void this.write(command),
+        this.options.timers.after(command.afterMs, () =>
+          runGuarded(this.options.onFault, () => this.write(command)),
         );
         return;
       case 'adopt':
--- a/packages/node/src/control_plane.ts
+++ b/packages/node/src/control_plane.ts
@@ -1,4 +1,5 @@
 /** Control plane of one node: membership, configuration and presence. */
+import {runGuarded} from '@goldcresthill/errors';
 import {watchersOf} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
@@ -85,6 +86,7 @@
       incarnation,
       onPeers: records => this.member.post({type: 'seed', records}),
       onWritten: () => this.member.post({type: 'setStoreEra', era: store.era}),
+      onFault: events.onFault,
     });
     this.unsubscribeRestored = store.onRestored(era => {
       this.member.post({type: 'setStoreEra', era});
@@ -95,7 +97,7 @@
   /** Starts to watch the configuration and publishes the presence of the node. */
   start(): void {
     this.config.start();
-    void this.presence.start();
+    runGuarded(this.options.events.onFault, () => this.presence.start());
     this.options.peers?.forEach(to => this.member.post({type: 'join', to}));
     this.updateMembers();
   }
@@ -180,6 +182,9 @@
     const dead = this.member.membership.get(nodeId)?.address;
     const removers = watchersOf(this.member.membership.reachable(), 1);
     const isRemover = removers.has(this.options.address.nodeId);
-    if (dead !== undefined && isRemover) void this.presence.removeDead(dead);
+    if (dead === undefined || !isRemover) return;
+    runGuarded(this.options.events.onFault, () =>
+      this.presence.removeDead(dead),
+    );
   }
 }
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -3,6 +3,7 @@
 import type {OwnerAnswer} from '@goldcresthill/attempts';
 import {parseAttemptKey} from '@goldcresthill/attempts';
 import {BalancerError} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import {encodeLoadReport, HEADERS} from '@goldcresthill/protocol';
 import type {Timers} from '@goldcresthill/timers';
 import type {AttemptId} from '@goldcresthill/types';
@@ -11,7 +12,7 @@
 import type {BodyBudget} from '../http/request_body';
 import {readBody} from '../http/request_body';
 import {endToEndHeaders} from '../http/header_filter';
-import {Listener} from '../http/listener';
+import {decodePathSegment, Listener} from '../http/listener';
 import type {GateTask} from './gate_task';
 import type {AttemptRequest, AttemptResult, BufferedAnswer} from './messages';
 
@@ -33,6 +34,7 @@
   readonly configText?: () => string | undefined;
   /** Membership records of all nodes, for nodes that have just started. */
   readonly memberTableText?: () => string;
+  readonly onFault: FaultListener;
 }
 
 /** Paths of operations other than attempts. */
@@ -53,10 +55,11 @@
   private readonly listener: Listener;
 
   constructor(private readonly options: DataListenerOptions) {
-    const {host, port} = options;
+    const {host, port, onFault} = options;
     this.listener = new Listener({
       host,
       port,
+      onFault,
       maxHeaderBytes: 65_536,
       onConnection: () => options.dispatchQueue.recordConnection(),
       handle: (req, res) => this.handle(req, res),
@@ -221,7 +224,11 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): void {
-    const token = decodeURIComponent(path.slice(OPERATION_PATHS.key.length));
+    const token = decodePathSegment(path.slice(OPERATION_PATHS.key.length));
+    if (token === undefined) {
+      writeRefusal(res, 'badHeader');
+      return;
+    }
     const askedIncarnation = Number(header(req, HEADERS.gateIncarnation) ?? 0);
     const isThisProcess = askedIncarnation === this.options.incarnation;
     const {answer, kept} = isThisProcess
--- a/packages/node/src/gate/gate_task.ts
+++ b/packages/node/src/gate/gate_task.ts
@@ -1,5 +1,6 @@
 /** Task that owns the links to the servers of this VM and the ledger of attempts. */
 import {AttemptLedger} from '@goldcresthill/attempts';
+import {runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {AnnouncementOrder, NestedCallDetector} from '@goldcresthill/gate';
 import type {Cancel, Timers} from '@goldcresthill/timers';
@@ -137,7 +138,7 @@
   protected override handle(message: GateMessage): void {
     switch (message.type) {
       case 'attempt':
-        message.provideCancel(this.attempt(message.req));
+        message.provideCancel(this.guardedCancel(this.attempt(message.req)));
         return;
       case 'resolve': {
         const {id, gateIncarnation} = message;
@@ -177,6 +178,11 @@
     this.options.events.onFault(err);
   }
 
+  // Callers disconnect outside of the handling of a message.
+  private guardedCancel(cancel: () => void): () => void {
+    return () => runGuarded(this.options.events.onFault, cancel);
+  }
+
   private attempt(req: AttemptRequest): () => void {
     const kind = this.register(req);
     if (kind !== undefined) {
@@ -354,6 +360,7 @@
           this.publishServers();
         },
         onDrained: () => this.publishServers(),
+        onFault: this.options.events.onFault,
       },
     });
     this.links.set(announcement.service, link);
@@ -381,7 +388,7 @@
 
   private closeWhenIdle(link: ServerLink): void {
     if (link.inFlight === 0) {
-      void link.close();
+      runGuarded(this.options.events.onFault, () => link.close());
       return;
     }
     this.options.timers.after(QUEUE_CHECK_INTERVAL_MS, () =>
--- a/packages/node/src/gate/repeated_refusal_test.ts
+++ b/packages/node/src/gate/repeated_refusal_test.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {RealTimers} from '@goldcresthill/timers';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
+import {rethrow} from '@goldcresthill/test-utils';
 import {expect, it} from 'vitest';
 import type {AttemptResult} from './messages';
 import {HttpServerConnections} from './server_connections';
@@ -54,6 +55,7 @@
       onRateLimitChanged: () => undefined,
       onDied: () => undefined,
       onDrained: () => undefined,
+      onFault: rethrow,
     },
   });
   const attempt = (seq: number): Promise<AttemptResult> => {
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -1,6 +1,7 @@
 /** Link to one server of this VM: its gate, its connections and its requests. */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {ErrorKind} from '@goldcresthill/errors';
+import {runGuarded} from '@goldcresthill/errors';
+import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
 import {Gate} from '@goldcresthill/gate';
 import type {GateCommand, RequestOutcome} from '@goldcresthill/gate';
 import type {Timers} from '@goldcresthill/timers';
@@ -38,6 +39,7 @@
   ) => void;
   readonly onDied: (link: ServerLink, fingerprints: readonly string[]) => void;
   readonly onDrained: (link: ServerLink) => void;
+  readonly onFault: FaultListener;
 }
 
 /** A cancelled attempt at the time of its cancellation. */
@@ -293,7 +295,9 @@
       },
       result => {
         cancelTimer();
-        this.onExchangeEnd(ref, entry, result);
+        runGuarded(this.options.events.onFault, () =>
+          this.onExchangeEnd(ref, entry, result),
+        );
       },
       () => this.release(ref, 'ok'),
     );
@@ -313,7 +317,8 @@
       this.release(ref, 'failed');
       const kind = unsentKind ?? 'serverUnreachable';
       this.reportResult(entry, {type: 'refused', kind});
-      if (unsentKind === undefined) void this.checkServerDied(ref);
+      if (unsentKind === undefined)
+        this.runDetached(() => this.checkServerDied(ref));
       return;
     }
     const abortKind = ABORT_KINDS.get(result.err.message);
@@ -322,7 +327,11 @@
       this.reportResult(entry, {type: 'broke', kind: abortKind});
       return;
     }
-    void this.onConnectionLost(ref, entry);
+    this.runDetached(() => this.onConnectionLost(ref, entry));
+  }
+
+  private runDetached(work: () => Promise<unknown>): void {
+    runGuarded(this.options.events.onFault, work);
   }
 
   private onAnswer(
--- a/packages/node/src/gate/server_link_test.ts
+++ b/packages/node/src/gate/server_link_test.ts
@@ -1,4 +1,4 @@
-import {VirtualClock, VirtualTimers} from '@goldcresthill/test-utils';
+import {rethrow, VirtualClock, VirtualTimers} from '@goldcresthill/test-utils';
 import {DEFAULT_SERVICE_RULES} from '@goldcresthill/types';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {ExchangeRequest, ExchangeResult} from '../http/exchange';
@@ -103,6 +103,7 @@
       onRateLimitChanged: () => events.push('rate limit'),
       onDied: () => events.push('died'),
       onDrained: () => undefined,
+      onFault: rethrow,
     },
   });
 }
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -73,6 +73,7 @@
     this.recentClaims = new RecentClaims({
       store,
       timers,
+      onFault,
       onTaken: path =>
         onFault(new Error(`lost claim ${path} was taken by another call`)),
     });
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -1,6 +1,7 @@
 /** Executes the plan of one call: sends its attempts, runs its timers and delivers its outcome. */
 import {CallPlan} from '@goldcresthill/attempts';
 import type {CallCommand, CallEvent, Resolution} from '@goldcresthill/attempts';
+import {runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import type {QuarantineStatus} from '@goldcresthill/quarantine';
 import type {
@@ -146,9 +147,8 @@
         this.send(command);
         return;
       case 'resolve':
-        this.env.timers.after(
-          command.afterMs,
-          () => void this.resolve(command.attempt),
+        this.env.timers.after(command.afterMs, () =>
+          runGuarded(this.env.onFault, () => this.resolve(command.attempt)),
         );
         return;
       case 'cancel':
@@ -224,7 +224,7 @@
       pick,
       suspect,
       this.plan.retriesForDownstream,
-      result => this.onAttemptEnded(attempt, entry, result),
+      result => this.guard(() => this.onAttemptEnded(attempt, entry, result)),
     );
     if (entry.handle === undefined) {
       this.recordResult(entry, 'failed');
--- a/packages/node/src/gateway/claim_runner.ts
+++ b/packages/node/src/gateway/claim_runner.ts
@@ -1,4 +1,5 @@
 /** Executes the claim on an idempotency key: store access, queries to the owner and the timeout. */
+import {runGuarded} from '@goldcresthill/errors';
 import {claimPath, KeyClaim} from '@goldcresthill/attempts';
 import type {
   ClaimCommand,
@@ -87,24 +88,21 @@
   private execute(command: ClaimCommand): void {
     switch (command.type) {
       case 'create':
-        this.schedule(
-          command.afterMs,
-          () => void this.write(command.record, 0),
+        this.schedule(command.afterMs, () =>
+          this.runDetached(() => this.write(command.record, 0)),
         );
         return;
       case 'replace':
-        this.schedule(
-          command.afterMs,
-          () => void this.write(command.record, command.version),
+        this.schedule(command.afterMs, () =>
+          this.runDetached(() => this.write(command.record, command.version)),
         );
         return;
       case 'read':
-        void this.read();
+        this.runDetached(() => this.read());
         return;
       case 'askOwner':
-        this.schedule(
-          command.afterMs,
-          () => void this.askOwner(command.record),
+        this.schedule(command.afterMs, () =>
+          this.runDetached(() => this.askOwner(command.record)),
         );
         return;
       case 'run':
@@ -119,6 +117,13 @@
     }
   }
 
+  private runDetached(work: () => Promise<void>): void {
+    runGuarded(err => {
+      this.options.onFault(err);
+      this.finish({type: 'refused', kind: 'internal'}, 'internal error');
+    }, work);
+  }
+
   private async write(record: ClaimRecord, version: number): Promise<void> {
     if (this.ended) return;
     const result = await this.options.store.put(
--- a/packages/node/src/gateway/claim_sweeper.ts
+++ b/packages/node/src/gateway/claim_sweeper.ts
@@ -5,6 +5,8 @@
   shardToSweep,
   shardPrefix,
 } from '@goldcresthill/attempts';
+import {runGuarded} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import * as z from 'zod';
@@ -17,6 +19,7 @@
   readonly retentionMs: number;
   /** Whether this node sweeps a shard. A shard may safely be swept by two nodes at once. */
   readonly isOwner: (shard: number) => boolean;
+  readonly onFault: FaultListener;
 }
 
 const claimSchema = z.object({claimedAtMs: z.number()});
@@ -27,9 +30,8 @@
   private removed = 0;
 
   constructor(private readonly options: ClaimSweeperOptions) {
-    this.cancel = options.timers.every(
-      SHARD_SWEEP_INTERVAL_MS,
-      () => void this.sweepDue(),
+    this.cancel = options.timers.every(SHARD_SWEEP_INTERVAL_MS, () =>
+      runGuarded(options.onFault, () => this.sweepDue()),
     );
   }
 
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -1,7 +1,7 @@
 /** HTTP client of a gateway for the gates of other nodes: attempts, resolutions, probes and claim queries. */
 import type {OwnerAnswer, Resolution} from '@goldcresthill/attempts';
 import {attemptKey} from '@goldcresthill/attempts';
-import {isErrorKind} from '@goldcresthill/errors';
+import {isErrorKind, runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {decodeLoadReport, HEADERS} from '@goldcresthill/protocol';
 import {runAfter} from '@goldcresthill/timers';
@@ -196,6 +196,9 @@
   new HttpExchange(req, () => undefined).start(pool);
 }
 
+/** The answer is there, or the query has failed, so nothing depends on how its connection closes. */
+function ignoreCloseError(): void {}
+
 async function queryOnce(
   host: string,
   port: number,
@@ -206,7 +209,7 @@
   try {
     return await exchangeOnce(client, path, headers);
   } finally {
-    void client.destroy();
+    runGuarded(ignoreCloseError, () => client.destroy());
   }
 }
 
--- a/packages/node/src/gateway/gate_links.ts
+++ b/packages/node/src/gateway/gate_links.ts
@@ -59,8 +59,8 @@
 
   /** Closes the pool of a node; the next call creates a new one. */
   closePool(nodeId: string): void {
-    // Exchanges in progress still complete.
-    void this.pools
+    // Exchanges in progress still complete; each of them reports its own error.
+    this.pools
       .get(nodeId)
       ?.close()
       .catch(() => undefined);
--- a/packages/node/src/gateway/gate_sender.ts
+++ b/packages/node/src/gateway/gate_sender.ts
@@ -1,4 +1,6 @@
 /** Sends attempts and probes from one gateway to the gates of all nodes, including its own. */
+import {runGuarded} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import {HEADERS} from '@goldcresthill/protocol';
 import type {PickedServer, ServiceRouter} from '@goldcresthill/routing';
 import type {Timers} from '@goldcresthill/timers';
@@ -23,6 +25,7 @@
   readonly links: GateLinks;
   readonly timers: Timers;
   readonly onProbe: (service: string) => void;
+  readonly onFault: FaultListener;
 }
 
 /** Sends to the gate of this VM by messages between tasks and to the other gates by HTTP. */
@@ -141,8 +144,10 @@
       const link = this.options.links.get(view.nodeId);
       if (link === undefined) continue;
       probeLoad(link.pool, service, report => {
-        if (report !== undefined)
-          router.recordReport(this.options.timers.now(), view.id, report);
+        if (report === undefined) return;
+        runGuarded(this.options.onFault, () =>
+          router.recordReport(this.options.timers.now(), view.id, report),
+        );
       });
     }
   }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -99,6 +99,7 @@
       links: this.links,
       timers: options.timers,
       onProbe: service => options.metrics.count('probes_total', {service}),
+      onFault: options.onFault,
     });
     this.handler = new CallHandler({
       address: options.address,
@@ -130,6 +131,7 @@
       maxHeaderBytes: options.headerBytes,
       headersTimeoutMs: options.slowSenderMs,
       onConnection: () => options.dispatchQueue.recordConnection(),
+      onFault: options.onFault,
       handle: (req, res) => this.receive(req, res),
     });
     this.cancelEviction = this.timers.every(EVICT_INTERVAL_MS, () =>
--- a/packages/node/src/gateway/recent_claims.ts
+++ b/packages/node/src/gateway/recent_claims.ts
@@ -1,4 +1,6 @@
 /** Claims that this gateway wrote recently, which a store restored from an older copy may have lost. */
+import {runGuarded} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import {StoreBreaker} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import type {Timers} from '@goldcresthill/timers';
@@ -11,6 +13,7 @@
   readonly random?: () => number;
   /** Another call has claimed the key since the restore, so both may have run. */
   readonly onTaken: (path: string) => void;
+  readonly onFault: FaultListener;
 }
 
 interface RecentClaim {
@@ -37,8 +40,8 @@
   constructor(private readonly options: RecentClaimsOptions) {
     this.random = options.random ?? Math.random;
     this.breaker = new StoreBreaker({random: this.random});
-    this.unsubscribeRestored = options.store.onRestored(
-      () => void this.writeAll(),
+    this.unsubscribeRestored = options.store.onRestored(() =>
+      runGuarded(options.onFault, () => this.writeAll()),
     );
   }
 
--- a/packages/node/src/gateway/recent_claims_test.ts
+++ b/packages/node/src/gateway/recent_claims_test.ts
@@ -1,5 +1,6 @@
 import {
   MemoryPlatform,
+  rethrow,
   StaleStore,
   VirtualClock,
   VirtualTimers,
@@ -32,6 +33,7 @@
     store,
     timers: new VirtualTimers(clock),
     random: () => 0.5,
+    onFault: rethrow,
     onTaken: path => taken.push(path),
   });
 });
--- a/packages/node/src/http/dispatch_queue.ts
+++ b/packages/node/src/http/dispatch_queue.ts
@@ -1,5 +1,7 @@
 /** Hands requests on once it is known that their senders are still connected. */
 import type {IncomingMessage} from 'node:http';
+import {runGuarded} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import type {Millis} from '@goldcresthill/types';
 
 /** A request that has been received completely. */
@@ -11,6 +13,14 @@
   readonly drop: () => void;
 }
 
+/** Options of DispatchQueue. */
+export interface DispatchQueueOptions {
+  /** Receives the errors of requests; such a request ends with its connection. */
+  readonly onFault: FaultListener;
+  /** Returns the monotonic time. */
+  readonly now?: () => Millis;
+}
+
 /** Turns of the event loop in which a request and a close behind it in the same socket are read: Node.js reads one in each. */
 const TURNS_TO_READ_CLOSE = 2;
 /** Longest time for which one turn dispatches before the sockets are read again, milliseconds. */
@@ -39,8 +49,11 @@
   private acceptingSince: Millis | undefined;
   private closed = false;
 
-  /** `now` returns the monotonic time. */
-  constructor(private readonly now: () => Millis = () => performance.now()) {}
+  private readonly now: () => Millis;
+
+  constructor(private readonly options: DispatchQueueOptions) {
+    this.now = options.now ?? (() => performance.now());
+  }
 
   /** Queues a request. */
   add(request: ReceivedRequest): void {
@@ -96,7 +109,10 @@
   private dispatchOrDrop({req, dispatch, drop}: ReceivedRequest): void {
     const {socket} = req;
     const isConnected = !socket.destroyed && !socket.readableEnded;
-    if (isConnected) dispatch();
-    else drop();
+    const onFault = (err: unknown): void => {
+      this.options.onFault(err);
+      socket.destroy();
+    };
+    runGuarded(onFault, isConnected ? dispatch : drop);
   }
 }
--- a/packages/node/src/http/dispatch_queue_test.ts
+++ b/packages/node/src/http/dispatch_queue_test.ts
@@ -1,3 +1,4 @@
+import {rethrow} from '@goldcresthill/test-utils';
 import {afterEach, describe, expect, it} from 'vitest';
 import {RawCaller, rawRequest} from '../testing/raw_caller';
 import {DispatchQueue} from './dispatch_queue';
@@ -17,8 +18,9 @@
 /** Listens with a queue whose clock advances with each dispatch, and with each accepted connection if asked to. */
 async function listen(acceptMs: number): Promise<string> {
   now = accepted = acceptedAtFirstDispatch = dispatched = 0;
-  const queue = new DispatchQueue(() => now);
+  const queue = new DispatchQueue({now: () => now, onFault: rethrow});
   listener = new Listener({
+    onFault: rethrow,
     host: HOST,
     port: 0,
     onConnection: () => {
--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -3,15 +3,21 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {answerFor} from '@goldcresthill/errors';
-import type {ErrorKind} from '@goldcresthill/errors';
+import {answerFor, runGuarded} from '@goldcresthill/errors';
+import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
 import {HEADERS} from '@goldcresthill/protocol';
 
 /** Options of Listener. */
 export interface ListenerOptions {
   readonly host: string;
   readonly port: number;
-  readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
+  /** Handles a request; if it fails, the request is answered with an internal error. */
+  readonly handle: (
+    req: IncomingMessage,
+    res: ServerResponse,
+  ) => void | Promise<void>;
+  /** Receives the errors of handlers. */
+  readonly onFault: FaultListener;
   readonly maxConnections?: number;
   /** Called for each accepted connection. */
   readonly onConnection?: () => void;
@@ -52,7 +58,7 @@
       (req, res) => {
         this.openResponses.get(req.socket)?.add(res);
         res.on('close', () => this.openResponses.get(req.socket)?.delete(res));
-        options.handle(req, res);
+        this.guard(res, () => options.handle(req, res));
       },
     );
     this.server.on('connection', socket => {
@@ -89,6 +95,14 @@
     this.server.closeIdleConnections();
   }
 
+  /** Runs a step of handling a request. If it throws or rejects, the error is reported and only this request ends. */
+  guard(res: ServerResponse, step: () => void | Promise<void>): void {
+    runGuarded(err => {
+      this.options.onFault(err);
+      answerFault(res);
+    }, step);
+  }
+
   // Node.js closes only the response that it is writing, not those of requests pipelined behind it.
   private closeResponsesWith(socket: Socket): void {
     const responses = new Set<ServerResponse>();
@@ -114,6 +128,24 @@
   }
 }
 
+/** Answers a request whose handler has failed. It may have run, and its body may not have been read. */
+function answerFault(res: ServerResponse): void {
+  if (res.headersSent || res.destroyed) {
+    res.destroy();
+    return;
+  }
+  const kind: ErrorKind = 'internal';
+  const {status, runState, resendSafe} = answerFor(kind);
+  res
+    .writeHead(status, {
+      connection: 'close',
+      [HEADERS.errorKind]: kind,
+      [HEADERS.runState]: runState,
+      [HEADERS.resendSafe]: String(resendSafe),
+    })
+    .end();
+}
+
 /** Answers input that node:http does not deliver as a request. */
 function rejectConnection(socket: Duplex, kind: ErrorKind): void {
   if (!socket.writable) {
@@ -129,6 +161,15 @@
   );
 }
 
+/** Decodes a percent-encoded part of a path; undefined if it is not valid UTF-8. */
+export function decodePathSegment(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Reads a text body of a request. Throws RangeError if it exceeds `maxBytes`. */
 export async function readText(
   req: IncomingMessage,
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -1,6 +1,8 @@
 import {connect} from 'node:net';
+import {rethrow} from '@goldcresthill/test-utils';
 import {afterEach, describe, expect, it} from 'vitest';
 import {Listener} from './listener';
+import type {ListenerOptions} from './listener';
 
 const MAX_HEADER_BYTES = 2_048;
 
@@ -12,7 +14,10 @@
     host: '127.0.0.1',
     port: 0,
     maxHeaderBytes: MAX_HEADER_BYTES,
-    handle: (_req, res) => res.end('handled'),
+    onFault: rethrow,
+    handle: (_req, res) => {
+      res.end('handled');
+    },
   });
   const port = await listener.listen();
   return new Promise(done => {
@@ -25,9 +30,59 @@
   });
 }
 
+const failingHandlers: Readonly<Record<string, ListenerOptions['handle']>> = {
+  '/throws': () => {
+    throw new Error('at once');
+  },
+  '/rejects': () => Promise.reject(new Error('later')),
+  '/fails-after-the-head': (_req, res) => {
+    res.writeHead(200, {'content-length': '5'}).flushHeaders();
+    return Promise.reject(new Error('later'));
+  },
+};
+
 describe('Listener', () => {
   afterEach(() => listener?.close());
 
+  // Guards against a process that ends because of one request that its handler does not expect.
+  it('ends only the request whose handler fails', async () => {
+    const faults: string[] = [];
+    listener = new Listener({
+      host: '127.0.0.1',
+      port: 0,
+      onFault: err => faults.push(String(err)),
+      handle: (req, res) => {
+        const handle = failingHandlers[req.url ?? ''];
+        if (handle !== undefined) return handle(req, res);
+        res.end('handled');
+        return undefined;
+      },
+    });
+    const url = `http://127.0.0.1:${await listener.listen()}`;
+    const answers: Record<string, string> = {};
+    for (const path of [...Object.keys(failingHandlers), '/good']) {
+      const res = await fetch(url + path);
+      const text = await res.text().catch(() => 'connection closed');
+      answers[path] =
+        `${res.status} ${res.headers.get('gh-error-kind')} ${text}`;
+    }
+    expect({answers, faults}).toMatchInlineSnapshot(`
+      {
+        "answers": {
+          "/fails-after-the-head": "200 null connection closed",
+          "/good": "200 null handled",
+          "/rejects": "500 internal ",
+          "/throws": "500 internal ",
+        },
+        "faults": [
+          "Error: at once",
+          "Error: later",
+          "Error: later",
+        ],
+      }
+    `);
+  });
+
   it('answers 431 to a header block over the limit', async () => {
     const header = `x-long: ${'x'.repeat(MAX_HEADER_BYTES)}`;
     const answer = await sendRaw(
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -56,7 +56,7 @@
 export type {CallHead} from './gateway/call_head';
 export type {AnswerContext} from './gateway/answer_writer';
 export {HttpServerConnections} from './gate/server_connections';
-export {Listener, readText} from './http/listener';
+export {decodePathSegment, Listener, readText} from './http/listener';
 export {endToEndHeaders} from './http/header_filter';
 export type {HeaderMap} from './http/header_filter';
 export {endWithBody, pipeStream} from './http/answer_body';
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -1,4 +1,5 @@
 /** Task that owns membership and its control connections. */
+import {runGuarded} from '@goldcresthill/errors';
 import {Membership} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
@@ -156,7 +157,7 @@
           membership.reportReached(now, message.origin, message.target),
         );
       case 'join':
-        void this.join(message.to);
+        this.runDetached(() => this.join(message.to));
         return;
       case 'leave':
         return this.execute(membership.leave(now));
@@ -167,16 +168,20 @@
     this.options.events.onFault(err);
   }
 
+  private runDetached(work: () => Promise<void>): void {
+    runGuarded(this.options.events.onFault, work);
+  }
+
   private execute(commands: readonly MemberCommand[]): void {
     const {events} = this.options;
     let membersChanged = false;
     for (const command of commands) {
       switch (command.type) {
         case 'exchange':
-          void this.exchange(command.to, command.message);
+          this.runDetached(() => this.exchange(command.to, command.message));
           break;
         case 'probeFor':
-          void this.probeFor(command);
+          this.runDetached(() => this.probeFor(command));
           break;
         case 'membersChanged':
           membersChanged = true;
@@ -194,7 +199,7 @@
           events.onStoreRestored(command.era);
           break;
         case 'fetchConfig':
-          void this.fetchConfig(command.from);
+          this.runDetached(() => this.fetchConfig(command.from));
           break;
       }
     }
--- a/packages/node/src/member/presence.ts
+++ b/packages/node/src/member/presence.ts
@@ -2,7 +2,8 @@
 import {isDeepStrictEqual} from 'node:util';
 import {isValidRecord, mergeLeavingInstances} from '@goldcresthill/membership';
 import type {MemberRecord} from '@goldcresthill/membership';
-import type {ErrorKind} from '@goldcresthill/errors';
+import {runGuarded} from '@goldcresthill/errors';
+import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
 import type {
   ObjectStore,
   StoreBreaker,
@@ -66,6 +67,7 @@
   /** Whether a message of another node has been received; without one, the list is read again, as all listed peers may be dead. */
   readonly hasContact?: () => boolean;
   readonly random?: () => number;
+  readonly onFault: FaultListener;
 }
 
 const RETRY_DELAY_MS = 200;
@@ -122,7 +124,8 @@
     if (this.closed || this.writtenEra === 0) return;
     this.cancelRestore?.();
     this.cancelRestore = timers.after(spreadMs * random(), () => {
-      if (!this.closed && this.writtenEra < era) void this.restore();
+      if (!this.closed && this.writtenEra < era)
+        this.runDetached(() => this.restore());
     });
   }
 
@@ -154,11 +157,17 @@
     this.cancelRestore?.();
   }
 
+  private runDetached(work: () => Promise<void>): void {
+    runGuarded(this.options.onFault, work);
+  }
+
   private scheduleRetry(): void {
     const {breaker, timers} = this.options;
     const waitMs = Math.max(RETRY_DELAY_MS, breaker.waitMs(timers.now()));
     this.cancelRetry?.();
-    this.cancelRetry = timers.after(waitMs, () => void this.start());
+    this.cancelRetry = timers.after(waitMs, () =>
+      this.runDetached(() => this.start()),
+    );
   }
 
   private async writeAndList(): Promise<void> {
@@ -278,7 +287,7 @@
     const delayMs = RELIST_DELAY_MS * (1 + JITTER_FRACTION * random());
     this.cancelRelist?.();
     this.cancelRelist = timers.after(delayMs, () => {
-      void this.relist();
+      this.runDetached(() => this.relist());
     });
   }
 
--- a/packages/node/src/member/presence_test.ts
+++ b/packages/node/src/member/presence_test.ts
@@ -1,6 +1,7 @@
 import {StoreBreaker} from '@goldcresthill/object-store';
 import {
   MemoryPlatform,
+  rethrow,
   StaleStore,
   VirtualClock,
   VirtualTimers,
@@ -50,6 +51,7 @@
   });
   const ports = {dataPort: 1, controlPort: 2};
   const presence = new Presence({
+    onFault: rethrow,
     timers,
     store,
     breaker: new StoreBreaker({random: () => 0.5, maxWaitMs: 1_000}),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -37,7 +37,9 @@
 /** The node process of one VM. */
 export class Node {
   readonly metrics = new Metrics();
-  private readonly timers: Timers = new RealTimers();
+  private readonly timers: Timers = new RealTimers({
+    onFault: err => this.onFault(err),
+  });
   private readonly address: NodeAddress;
   private readonly incarnation = this.timers.wall();
   private readonly store: BudgetedStore;
@@ -66,9 +68,12 @@
     const bucket = new TokenBucket(this.timers.now(), {
       perSecond: platform.calls_per_second,
     });
-    this.store = new BudgetedStore(options.store, bucket, () =>
-      this.timers.now(),
-    );
+    this.store = new BudgetedStore({
+      inner: options.store,
+      bucket,
+      now: () => this.timers.now(),
+      onFault: err => this.onFault(err),
+    });
     this.breaker = new StoreBreaker({random});
     this.budget = new BodyBudget(callers.buffered_bytes);
     this.decisions = new DecisionLog(options.logger);
--- a/packages/node/src/operator/operator_listener.ts
+++ b/packages/node/src/operator/operator_listener.ts
@@ -1,14 +1,14 @@
 /** Operator port: announcements of servers, tickets, status, metrics and explanations of calls. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {BalancerError} from '@goldcresthill/errors';
-import type {ErrorKind} from '@goldcresthill/errors';
+import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
 import {formatIssues} from '@goldcresthill/ini-document';
 import {HEADERS} from '@goldcresthill/protocol';
 import {parseTicket} from '@goldcresthill/tickets';
 import type {Configuration, Ticket, TicketAnswer} from '@goldcresthill/tickets';
 import * as z from 'zod';
 import type {Announcement} from '../gate/messages';
-import {Listener, readText} from '../http/listener';
+import {decodePathSegment, Listener, readText} from '../http/listener';
 
 export interface OperatorListenerOptions {
   readonly host: string;
@@ -22,6 +22,7 @@
   readonly configuration: () => Configuration;
   readonly metrics: () => string;
   readonly explain: (callId: string) => unknown;
+  readonly onFault: FaultListener;
 }
 
 const MAX_TICKET_BYTES = 1_048_576;
@@ -44,9 +45,9 @@
       host: options.host,
       port: options.port,
       maxConnections: 256,
-      handle: (req, res) => {
-        this.handle(req, res).catch(err => writeError(res, err));
-      },
+      onFault: options.onFault,
+      handle: (req, res) =>
+        this.handle(req, res).catch(err => writeError(res, err)),
     });
   }
 
@@ -125,7 +126,9 @@
   }
 
   private explain(path: string, res: ServerResponse): void {
-    const callId = decodeURIComponent(path.slice('/explain/'.length));
+    const callId = decodePathSegment(path.slice('/explain/'.length));
+    if (callId === undefined)
+      throw new BalancerError('malformedRequest', 'call id is not valid UTF-8');
     const decisions = this.options.explain(callId);
     writeJson(res, decisions === undefined ? 404 : 200, {
       callId,
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -1,6 +1,7 @@
 /** UDP socket for gossip messages and load requests. */
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
+import {runGuarded} from '@goldcresthill/errors';
 import type {ExchangeMessage} from '@goldcresthill/membership';
 import {decodeDatagram, encodeDatagram} from '@goldcresthill/peers';
 import type {Datagram, LoadResponse, LoadRequest} from '@goldcresthill/peers';
@@ -69,15 +70,16 @@
       lookup: (host, _options, done) => done(null, host, IPV4_FAMILY),
     });
     this.socket = socket;
+    const {onFault} = this.options.events;
     socket.on('message', (bytes, from) =>
-      this.receive(bytes, from.address, from.port),
+      runGuarded(onFault, () => this.receive(bytes, from.address, from.port)),
     );
     const {host, controlPort} = this.options.address;
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject);
       socket.bind(controlPort, host, resolve);
     });
-    socket.on('error', err => this.options.events.onFault(err));
+    socket.on('error', onFault);
   }
 
   override exchange(
@@ -145,12 +147,7 @@
 
   private receive(bytes: Buffer, host: string, port: number): void {
     const datagram = decodeDatagram(bytes);
-    if (datagram === undefined) return;
-    try {
-      this.dispatch(datagram, host, port);
-    } catch (err) {
-      this.options.events.onFault(err);
-    }
+    if (datagram !== undefined) this.dispatch(datagram, host, port);
   }
 
   private dispatch(datagram: Datagram, host: string, port: number): void {
--- a/packages/node/src/peers/member_table_fetcher.ts
+++ b/packages/node/src/peers/member_table_fetcher.ts
@@ -1,4 +1,6 @@
 /** Reads the complete member tables of other nodes after the start. */
+import {runGuarded} from '@goldcresthill/errors';
+import type {FaultListener} from '@goldcresthill/errors';
 import {decodeRecords} from '@goldcresthill/peers';
 import type {MemberRecord} from '@goldcresthill/membership';
 import type {Logger} from '@goldcresthill/logger';
@@ -16,6 +18,7 @@
   /** Reads the encoded table of a node; resolves to undefined on failure. */
   readonly fetchTable: (from: NodeAddress) => Promise<string | undefined>;
   readonly onRecords: (records: readonly MemberRecord[]) => void;
+  readonly onFault: FaultListener;
 }
 
 /** Delay before the next table is read, milliseconds; nodes that start at the same time know few others at first. */
@@ -43,7 +46,7 @@
   onMembersChanged(): void {
     if (this.started || this.options.reachable().length < 2) return;
     this.started = true;
-    void this.fetchTables(1);
+    this.startFetching(1);
   }
 
   close(): void {
@@ -51,6 +54,10 @@
     this.cancelNext?.();
   }
 
+  private startFetching(tableNumber: number): void {
+    runGuarded(this.options.onFault, () => this.fetchTables(tableNumber));
+  }
+
   // Stops when a table contains no new nodes, but reads a minimum number in case their senders have just started too.
   private async fetchTables(tableNumber: number): Promise<void> {
     const {timers, random, reachable} = this.options;
@@ -61,7 +68,7 @@
     if (this.closed || !shouldContinue || tableNumber >= MAX_TABLES) return;
     const jitter = 1 + JITTER_FRACTION * random();
     this.cancelNext = timers.after(FETCH_INTERVAL_MS * jitter, () => {
-      void this.fetchTables(tableNumber + 1);
+      this.startFetching(tableNumber + 1);
     });
   }
 
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -1,5 +1,6 @@
 /** Membership, configuration and presence of a node whose store returns lists in pages. */
 import type {Logger} from '@goldcresthill/logger';
+import {runGuarded} from '@goldcresthill/errors';
 import {ownerOf, WatchDuty, watchersOf} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
@@ -114,7 +115,7 @@
     this.unsubscribeRestored = this.options.store.onRestored(era =>
       this.onStoreRestored(era),
     );
-    void this.config.start();
+    runGuarded(this.options.events.onFault, () => this.config.start());
     this.cancelResends = this.options.timers.every(RESEND_INTERVAL_MS, () =>
       this.resendUpdates(),
     );
@@ -229,9 +230,10 @@
   }
 
   private makeMemberTableFetcher(): MemberTableFetcher {
-    const {address, fetchMemberTable, ...options} = this.options;
+    const {address, fetchMemberTable, events, ...options} = this.options;
     return new MemberTableFetcher({
       ...options,
+      onFault: events.onFault,
       self: address,
       fetchTable: fetchMemberTable,
       reachable: () => this.reachable(),
@@ -244,6 +246,7 @@
     return new Presence({
       ...options,
       address,
+      onFault: events.onFault,
       breaker: this.newBreaker(),
       incarnation: address.bootId,
       reusesObject: true,
@@ -260,6 +263,7 @@
     const {configPath, decodeConfig, events, logger, ...options} = this.options;
     return new ConfigFollower<Config>({
       ...options,
+      onFault: events.onFault,
       breaker: this.newBreaker(),
       path: configPath,
       decode: decodeConfig,
@@ -338,7 +342,9 @@
       if (this.closed || record?.status !== 'dead') return;
       if (owner !== address.nodeId) return;
       logger.info('nodeForgotten', {member: nodeId});
-      void this.presence.removeDead(record.address);
+      runGuarded(this.options.events.onFault, () =>
+        this.presence.removeDead(record.address),
+      );
     });
   }
 
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -4,6 +4,7 @@
 import {BudgetedStore} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
 import {TokenBucket} from '@goldcresthill/budgets';
+import {runGuarded} from '@goldcresthill/errors';
 import type {NodeSettings} from '@goldcresthill/settings';
 import type {Timers} from '@goldcresthill/timers';
 import {InvariantError, withoutMechanisms} from '@goldcresthill/types';
@@ -78,7 +79,9 @@
   private readonly control: SidecarControl<SidecarConfig>;
   private readonly store: BudgetedStore;
   private readonly bodyBudget: BodyBudget;
-  private readonly dispatchQueue = new DispatchQueue();
+  private readonly dispatchQueue = new DispatchQueue({
+    onFault: err => this.onFault(err),
+  });
   private readonly quarantineReporter: QuarantineReporter;
   private isLeaving = false;
   private brokenInvariantCount = 0;
@@ -119,7 +122,7 @@
       this.links.listen(),
     ]);
     this.control.start();
-    void this.publishPresence();
+    this.runDetached(() => this.publishPresence());
     const {nodeId, bootId, domain} = this.address;
     this.options.logger.info('started', {nodeId, bootId, domain});
   }
@@ -238,7 +241,12 @@
     const bucket = new TokenBucket(timers.now(), {
       perSecond: settings.platform.calls_per_second,
     });
-    return new BudgetedStore(store, bucket, () => timers.now());
+    return new BudgetedStore({
+      inner: store,
+      bucket,
+      now: () => timers.now(),
+      onFault: err => this.onFault(err),
+    });
   }
 
   private makeGate(): GateTask {
@@ -302,6 +310,7 @@
       answerOwnerQuery: token => this.gateway.lookUpClaim(token),
       configText: () => this.control.configText,
       memberTableText: () => this.control.memberTableText,
+      onFault: err => this.onFault(err),
     });
   }
 
@@ -372,7 +381,11 @@
   private recordLeaving(instance: string): void {
     this.options.logger.info('serverLeaving', {instance});
     this.publishLeaving();
-    void this.control.persistLeaving(instance);
+    this.runDetached(() => this.control.persistLeaving(instance));
+  }
+
+  private runDetached(work: () => Promise<unknown>): void {
+    runGuarded(err => this.onFault(err), work);
   }
 
   private publishLeaving(): void {
--- a/packages/node/src/tasks.ts
+++ b/packages/node/src/tasks.ts
@@ -68,9 +68,11 @@
   private readonly operator: OperatorListener;
   private readonly sweeper: ClaimSweeper;
   private readonly quarantineReporter: QuarantineReporter;
-  private readonly dispatchQueue = new DispatchQueue();
+  private readonly dispatchQueue: DispatchQueue;
 
   constructor(private readonly options: TasksOptions) {
+    const {onFault} = options;
+    this.dispatchQueue = new DispatchQueue({onFault});
     this.quarantineReporter = new QuarantineReporter({
       timers: options.timers,
       logger: options.logger,
@@ -190,6 +192,7 @@
       dispatchQueue: this.dispatchQueue,
       onDecision: fields => logger.decision(fields),
       answerOwnerQuery: token => this.gateway.lookUpClaim(token),
+      onFault: this.options.onFault,
     });
   }
 
@@ -215,15 +218,17 @@
       configuration: () => this.control.config.current,
       metrics: () => metrics.renderText(),
       explain: callId => decisions.explain(callId),
+      onFault: this.options.onFault,
     });
   }
 
   private makeSweeper(): ClaimSweeper {
-    const {address, settings, store, timers} = this.options;
+    const {address, settings, store, timers, onFault} = this.options;
     const {membership} = this.control.member;
     return new ClaimSweeper({
       store,
       timers,
+      onFault,
       retentionMs: settings.keys.retention_hours * MILLIS_PER_HOUR,
       isOwner: shard =>
         ownerOf(`sweep|${shard}`, membership.reachable()) === address.nodeId,
--- a/packages/object-store/src/budgeted_store.ts
+++ b/packages/object-store/src/budgeted_store.ts
@@ -1,7 +1,8 @@
 /** Object store with a rate limit and a count of its calls. */
 import type {TokenBucket} from '@goldcresthill/budgets';
-import type {ErrorKind} from '@goldcresthill/errors';
-import {errAsync} from 'neverthrow';
+import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
+import {err, errAsync, ResultAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import {ObjectStore} from './object_store';
 import type {
   CreateResult,
@@ -12,17 +13,26 @@
   StoreResult,
 } from './object_store';
 
-/** Forwards calls to another store; calls over the budget fail with `storeBudget` and are not sent. */
+/** Options of BudgetedStore. */
+export interface BudgetedStoreOptions {
+  readonly inner: ObjectStore;
+  readonly bucket: TokenBucket;
+  /** Returns the monotonic time, milliseconds. */
+  readonly now: () => number;
+  /** Receives what the inner store throws. */
+  readonly onFault: FaultListener;
+}
+
+/** Forwards calls to another store; calls over the budget fail with `storeBudget` and are not sent, and calls that throw fail with `storeUnavailable`. */
 export class BudgetedStore extends ObjectStore {
   private callsMade = 0;
   private callsFailed = 0;
 
-  constructor(
-    private readonly inner: ObjectStore,
-    private readonly bucket: TokenBucket,
-    private readonly clock: () => number,
-  ) {
+  private readonly inner: ObjectStore;
+
+  constructor(private readonly options: BudgetedStoreOptions) {
     super();
+    this.inner = options.inner;
   }
 
   /** Number of calls sent and of those that failed, since the process started. */
@@ -81,12 +91,23 @@
   }
 
   private withinBudget<T>(call: () => StoreResult<T>): StoreResult<T> {
-    if (!this.bucket.take(this.clock()))
-      return errAsync<T, ErrorKind>('storeBudget');
+    const {bucket, now} = this.options;
+    if (!bucket.take(now())) return errAsync<T, ErrorKind>('storeBudget');
     this.callsMade++;
-    return call().mapErr(kind => {
+    return new ResultAsync(this.runCall(call)).mapErr(kind => {
       this.callsFailed++;
       return kind;
     });
   }
+
+  private async runCall<T>(
+    call: () => StoreResult<T>,
+  ): Promise<Result<T, ErrorKind>> {
+    try {
+      return await call();
+    } catch (fault) {
+      this.options.onFault(fault);
+      return err('storeUnavailable');
+    }
+  }
 }
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -10,5 +10,6 @@
   ExpectedVersion,
 } from './object_store';
 export {BudgetedStore} from './budgeted_store';
+export type {BudgetedStoreOptions} from './budgeted_store';
 export {StoreBreaker} from './store_breaker';
 export type {StoreBreakerOptions} from './store_breaker';
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -13,6 +13,7 @@
 export {TcpRelay} from './tcp_relay';
 export {VirtualClock} from './virtual_clock';
 export {VirtualTimers} from './virtual_timers';
+export {rethrow} from './rethrow';
 export {seededRandom} from './seeded_random';
 export {freePorts} from './free_ports';
 export {SidecarServer} from './sidecar_server';
--- a/packages/timers/src/real_timers_test.ts
+++ b/packages/timers/src/real_timers_test.ts
@@ -55,6 +55,21 @@
     expect(events).toEqual(['message', 'timer', 'interval']);
   });
 
+  // Guards against a process that ends because of an error in a timer.
+  it('report what a function throws and keep running', async () => {
+    const faults: string[] = [];
+    const guarded = new RealTimers({onFault: err => faults.push(String(err))});
+    await new Promise<void>(done => {
+      let runs = 0;
+      const cancel = guarded.every(1, () => {
+        if (++runs < 3) throw new Error(`run ${runs}`);
+        cancel();
+        done();
+      });
+    });
+    expect(faults).toEqual(['Error: run 1', 'Error: run 2']);
+  });
+
   // A call ended as timed out although its answer lay in the socket.
   it('can be cancelled by a message that arrived before they ran late', async () => {
     const ran: string[] = [];
--- a/packages/trials/src/call/claim_sweeper_test.ts
+++ b/packages/trials/src/call/claim_sweeper_test.ts
@@ -7,6 +7,7 @@
 import {ClaimSweeper} from '@goldcresthill/node';
 import {
   MemoryPlatform,
+  rethrow,
   seededRandom,
   VirtualClock,
   VirtualTimers,
@@ -38,6 +39,7 @@
     const isOwner = (shard: number): boolean =>
       ownerOf(`sweep|${shard}`, members) === nodeId;
     return new ClaimSweeper({
+      onFault: rethrow,
       store,
       timers,
       retentionMs: RETENTION_MS,
