Further signals no longer end a process that is stopping or starting

Cause: process.once leaves the second signal to the default action, and shutDown() answered 0 at once when the node was already leaving, on which main exits.

--- a/packages/cli/src/commands/node/index.ts
+++ b/packages/cli/src/commands/node/index.ts
@@ -2,7 +2,7 @@
 import {runGuarded} from '@goldcresthill/errors';
 import {formatIssues} from '@goldcresthill/ini-document';
 import {Logger} from '@goldcresthill/logger';
-import {Node} from '@goldcresthill/node';
+import {Node, onStopSignal} from '@goldcresthill/node';
 import {PlatformStore} from '@goldcresthill/platform';
 import {parseSettings} from '@goldcresthill/settings';
 import type {NodeSettings} from '@goldcresthill/settings';
@@ -44,17 +44,17 @@
     timeoutMs: platform.timeout_ms,
   });
   const node = new Node({settings, store, logger});
-  await node.start();
-  const stop = (): void => {
+  const started = node.start();
+  onStopSignal(() =>
     runGuarded(exitOnFault, async () => {
+      await started;
       const unfinished = await node.shutDown();
       logger.close();
       process.exitCode = unfinished === 0 ? EXIT.ok : EXIT.unfinished;
       setImmediate(() => process.exit());
-    });
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+    }),
+  );
+  await started;
 }
 
 function exitOnFault(err: unknown): void {
--- a/packages/cli/src/commands/stand_in/index.ts
+++ b/packages/cli/src/commands/stand_in/index.ts
@@ -1,4 +1,5 @@
 /** `goldcresthill stand-in`: stand-ins for the platform and for a server, for demos and experiments. */
+import {onStopSignal} from '@goldcresthill/node';
 import {
   Announcer,
   FakeServer,
@@ -52,7 +53,7 @@
       instance: `${process.pid}-${Date.now()}`,
     });
     await announcer.start();
-    process.once('SIGTERM', () => {
+    onStopSignal(() => {
       announcer.drain().catch(err => printError(String(err)));
       setTimeout(() => process.exit(0), 2_000);
     });
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,6 @@
 /** A node of the load balancer. */
 export {Node} from './node';
+export {onStopSignal} from './stop_signals';
 export type {NodeOptions} from './node';
 export type {NodePorts} from './tasks';
 export type {NodeStatus} from './operator/status';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -48,6 +48,7 @@
   private readonly decisions: DecisionLog;
   private readonly loopDelay: IntervalHistogram;
   private tasks: Tasks | undefined;
+  private shutdown: Promise<number> | undefined;
   private state: NodeStatus['state'] = 'starting';
   private brokenInvariants = 0;
 
@@ -100,30 +101,11 @@
   /**
    * Leaves the fleet: refuses new requests at the gate at once, waits for running
    * requests within the grace period, announces the leaving to the other nodes and
-   * closes. Resolves to the number of unfinished requests; 0 if it leaves already.
+   * closes. Resolves to the number of unfinished requests; repeated calls resolve with the first one.
    */
-  async shutDown(): Promise<number> {
-    const tasks = this.tasks;
-    if (tasks === undefined || this.state === 'leaving') return 0;
-    this.state = 'leaving';
-    this.options.logger.info('leaving', {
-      inFlight: tasks.gate.requestsInFlight,
-    });
-    const graceMs =
-      this.options.settings.node.grace_seconds * MILLIS_PER_SECOND;
-    const graceEndsAt = this.timers.now() + graceMs;
-    tasks.gateway.beginClosing();
-    tasks.gate.post({type: 'drain'});
-    await this.timers.sleep(Math.min(LAME_DUCK_MS, graceMs));
-    tasks.gateway.stopAccepting();
-    while (!tasks.isIdle && this.timers.now() < graceEndsAt)
-      await this.timers.sleep(IDLE_POLL_INTERVAL_MS);
-    const unfinished = tasks.gate.requestsInFlight + tasks.gateway.callsOpen;
-    await tasks.control.leave();
-    await this.timers.sleep(LAME_DUCK_MS / 10);
-    await this.close();
-    this.options.logger.info('left', {unfinished});
-    return unfinished;
+  shutDown(): Promise<number> {
+    this.shutdown ??= this.drainAndClose();
+    return this.shutdown;
   }
 
   /** Stops at once, without waiting for running requests. */
@@ -168,6 +150,30 @@
     };
   }
 
+  private async drainAndClose(): Promise<number> {
+    const tasks = this.tasks;
+    if (tasks === undefined) return 0;
+    this.state = 'leaving';
+    this.options.logger.info('leaving', {
+      inFlight: tasks.gate.requestsInFlight,
+    });
+    const graceMs =
+      this.options.settings.node.grace_seconds * MILLIS_PER_SECOND;
+    const graceEndsAt = this.timers.now() + graceMs;
+    tasks.gateway.beginClosing();
+    tasks.gate.post({type: 'drain'});
+    await this.timers.sleep(Math.min(LAME_DUCK_MS, graceMs));
+    tasks.gateway.stopAccepting();
+    while (!tasks.isIdle && this.timers.now() < graceEndsAt)
+      await this.timers.sleep(IDLE_POLL_INTERVAL_MS);
+    const unfinished = tasks.gate.requestsInFlight + tasks.gateway.callsOpen;
+    await tasks.control.leave();
+    await this.timers.sleep(LAME_DUCK_MS / 10);
+    await this.close();
+    this.options.logger.info('left', {unfinished});
+    return unfinished;
+  }
+
   private taskOptions(): TasksOptions {
     const {settings, logger, random = Math.random} = this.options;
     return {
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -83,7 +83,7 @@
     onFault: err => this.onFault(err),
   });
   private readonly quarantineReporter: QuarantineReporter;
-  private isLeaving = false;
+  private shutdown: Promise<number> | undefined;
   private brokenInvariantCount = 0;
   private resolveServerAnnounced: () => void = () => undefined;
   /** Resolves with the first announcement of the server of this VM. */
@@ -176,16 +176,33 @@
 
   /** Whether this node accepts calls: it has a configuration and is not leaving. */
   get isReady(): boolean {
-    return !this.isLeaving && this.control.currentConfig !== undefined;
+    return (
+      this.shutdown === undefined && this.control.currentConfig !== undefined
+    );
   }
 
   /**
    * Shuts down: refuses further requests for its server, lets running ones finish,
-   * and serves callers until they have noticed. Resolves to the number of unfinished requests.
+   * and serves callers until they have noticed. Resolves to the number of unfinished requests;
+   * repeated calls resolve with the first one.
    */
-  async shutDown(): Promise<number> {
-    if (this.isLeaving) return 0;
-    this.isLeaving = true;
+  shutDown(): Promise<number> {
+    this.shutdown ??= this.drainAndClose();
+    return this.shutdown;
+  }
+
+  async close(): Promise<void> {
+    this.dispatchQueue.close();
+    await Promise.all([
+      this.control.close(),
+      this.gateway.close(),
+      this.dataListener.close(),
+      this.gate.close(),
+      this.store.close(),
+    ]);
+  }
+
+  private async drainAndClose(): Promise<number> {
     const {timers, logger, settings} = this.options;
     logger.info('leaving', {inFlight: this.gate.requestsInFlight});
     const startedAt = timers.now();
@@ -205,17 +222,6 @@
     return unfinished;
   }
 
-  async close(): Promise<void> {
-    this.dispatchQueue.close();
-    await Promise.all([
-      this.control.close(),
-      this.gateway.close(),
-      this.dataListener.close(),
-      this.gate.close(),
-      this.store.close(),
-    ]);
-  }
-
   private get isIdle(): boolean {
     return this.gate.isIdle && this.gateway.callsOpen === 0;
   }
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -17,4 +17,4 @@
 export {seededRandom} from './seeded_random';
 export {freePorts} from './free_ports';
 export {SidecarServer} from './sidecar_server';
-export type {SidecarServerOptions} from './sidecar_server';
+export type {AnswerFault, SidecarServerOptions} from './sidecar_server';
--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -1,6 +1,7 @@
-/** Stand-in for a server on the platform, with slots, an instance id, load headers and liveness reports. */
+/** Stand-in for a server on the platform, with slots, an instance id, load headers, liveness reports and faulty answers. */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Writable} from 'node:stream';
 import {request} from 'undici';
 
 /** Options of a sidecar server. */
@@ -14,11 +15,42 @@
   readonly controlAddress: string;
   /** Start time, milliseconds since 1970; now by default. */
   readonly startedAtMs?: number;
+  /** Address to listen on; loopback by default. */
+  readonly host?: string;
+  /** Address for its liveness reports, as host:port, if requests arrive through a relay. */
+  readonly reportedAddress?: string;
+  /** Time that a request takes, milliseconds; `serviceMs` by default. */
+  readonly serviceMsOf?: (req: IncomingMessage) => number;
+  /** Fault of the answer to an attempt; none by default. */
+  readonly faultOf?: (attempt: string) => AnswerFault | undefined;
+  /** Called when a request begins to run. */
+  readonly onRun?: (attempt: string, req: IncomingMessage) => void;
+  /** Called when a run has ended; `dropped` if its connection closed before. */
+  readonly onRunEnd?: (attempt: string, end: 'answered' | 'dropped') => void;
 }
 
+/** How a faulty server answers a request that it has run. */
+export type AnswerFault =
+  /** The connection closes without an answer. */
+  | 'lost'
+  /** The answer is correct, and comes once more later. */
+  | 'repeated'
+  /** Bytes that are no answer. */
+  | 'garbage'
+  /** The connection closes within the body. */
+  | 'truncated'
+  /** Header lines or a body without end, until the connection closes. */
+  | 'endlessHead'
+  | 'endlessBody'
+  /** Nothing is sent, and the connection stays open. */
+  | 'silent';
+
 const HOST = '127.0.0.1';
 /** Slowdown of a server at its usual speed. */
 const NORMAL_SLOWDOWN_PERCENT = 100;
+const REPEAT_DELAY_MS = 30;
+const ENDLESS_WRITE_BYTES = 16_384;
+const ENDLESS_HEADER = 'x-filler: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n';
 
 /** Runs requests that expect this instance, refuses them with 503 when all slots are busy, and counts runs by attempt id. */
 export class SidecarServer {
@@ -49,8 +81,8 @@
   }
 
   async listen(): Promise<void> {
-    const {port} = this.options;
-    await new Promise<void>(done => this.server.listen(port, HOST, done));
+    const {port, host = HOST} = this.options;
+    await new Promise<void>(done => this.server.listen(port, host, done));
   }
 
   /** Sends a liveness report and returns the HTTP status. */
@@ -59,11 +91,12 @@
     sequence = ++this.sequence,
   ): Promise<number> {
     const {id, service, port, slots, controlAddress} = this.options;
+    const {host = HOST, reportedAddress = `${host}:${port}`} = this.options;
     const res = await request(`http://${controlAddress}/v1/instances/${id}`, {
       method: 'PUT',
       body: JSON.stringify({
         service,
-        address: `${HOST}:${port}`,
+        address: reportedAddress,
         zone: 'zone-a',
         version: 'v1',
         capacity: slots,
@@ -85,6 +118,11 @@
     }, intervalMs);
   }
 
+  /** Stops the reports; the server keeps serving. */
+  stopHeartbeat(): void {
+    clearInterval(this.heartbeat);
+  }
+
   /** Deregisters the instance and returns the HTTP status. */
   async deregister(): Promise<number> {
     const {id, controlAddress} = this.options;
@@ -95,7 +133,7 @@
   }
 
   async close(): Promise<void> {
-    clearInterval(this.heartbeat);
+    this.stopHeartbeat();
     this.server.closeAllConnections();
     await new Promise(done => this.server.close(done));
   }
@@ -126,16 +164,91 @@
       res.writeHead(503, {'x-not-executed': '1'}).end();
       return;
     }
-    this.run(attempt, req);
-    setTimeout(() => {
-      this.inFlight--;
-      res.writeHead(200, {'x-response-signature': id}).end(`${id} ${attempt}`);
-    }, this.serviceMs);
+    this.run(attempt, req, res);
   }
 
-  private run(attempt: string, req: IncomingMessage): void {
+  private run(
+    attempt: string,
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): void {
+    const {serviceMsOf, onRun, onRunEnd} = this.options;
     this.inFlight++;
     this.runs.set(attempt, (this.runs.get(attempt) ?? 0) + 1);
     this.callers.add(String(req.headers['x-caller-service']));
+    onRun?.(attempt, req);
+    let ended = false;
+    const end = (outcome: 'answered' | 'dropped'): void => {
+      if (ended) return;
+      ended = true;
+      clearTimeout(timer);
+      this.inFlight--;
+      onRunEnd?.(attempt, outcome);
+    };
+    const timer = setTimeout(
+      () => {
+        this.answer(attempt, res);
+        if (res.writableEnded) end('answered');
+      },
+      serviceMsOf?.(req) ?? this.serviceMs,
+    );
+    // A server drops a request whose connection closes.
+    res.on('close', () => end(res.writableFinished ? 'answered' : 'dropped'));
+  }
+
+  private answer(attempt: string, res: ServerResponse): void {
+    const {id, faultOf} = this.options;
+    const {socket} = res;
+    const body = `${id} ${attempt}`;
+    const head = {'x-response-signature': id};
+    switch (faultOf?.(attempt)) {
+      case undefined:
+        res.writeHead(200, head).end(body);
+        return;
+      case 'repeated':
+        res.writeHead(200, head).end(body);
+        setTimeout(
+          () => socket?.write(rawAnswer(id, attempt, body)),
+          REPEAT_DELAY_MS,
+        );
+        return;
+      case 'lost':
+        socket?.destroy();
+        return;
+      case 'garbage':
+        socket?.end('\u0000 no answer\r\n\r\n');
+        return;
+      case 'truncated':
+        res.writeHead(200, {...head, 'content-length': body.length + 1});
+        res.write(body, () => socket?.destroy());
+        return;
+      case 'endlessHead':
+        socket?.write('HTTP/1.1 200 OK\r\n');
+        if (socket)
+          writeEndlessly(
+            socket,
+            ENDLESS_HEADER.repeat(ENDLESS_WRITE_BYTES / ENDLESS_HEADER.length),
+          );
+        return;
+      case 'endlessBody':
+        res.writeHead(200, head);
+        writeEndlessly(res, 'x'.repeat(ENDLESS_WRITE_BYTES));
+        return;
+      case 'silent':
+        return;
+    }
+  }
+}
+
+function rawAnswer(id: string, attempt: string, body: string): string {
+  return `HTTP/1.1 200 OK\r\nx-attempt-id: ${attempt}\r\nx-response-signature: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Writes as fast as the other end reads, until the stream is closed. */
+function writeEndlessly(stream: Writable, text: string): void {
+  while (!stream.destroyed && stream.write(text)) {
+    // Continues until the buffer is full.
   }
+  if (!stream.destroyed)
+    stream.once('drain', () => writeEndlessly(stream, text));
 }
--- a/packages/test-utils/src/tcp_relay.ts
+++ b/packages/test-utils/src/tcp_relay.ts
@@ -2,13 +2,23 @@
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
-/** Forwards connections to a port of this host. */
+/** Where a relay forwards connections to. */
+export interface RelayTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Forwards connections to a port of this host or of another one. */
 export class TcpRelay {
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private refusing = false;
 
-  constructor(private readonly targetPort: number) {
+  private readonly target: RelayTarget;
+
+  constructor(target: number | RelayTarget) {
+    this.target =
+      typeof target === 'number' ? {host: '127.0.0.1', port: target} : target;
     this.server = createServer(socket => this.accept(socket));
   }
 
@@ -42,7 +52,7 @@
       socket.destroy();
       return;
     }
-    const target = connect(this.targetPort, '127.0.0.1');
+    const target = connect(this.target);
     this.link(socket, target);
     this.link(target, socket);
     socket.pipe(target);
