A soak of the platform's program as real processes

Cause: nothing started the program of the deploy file as a process and disturbed it from outside, so faults of signals and of planned work were not seen. Change: goldcresthill process-soak starts nodes with the command and the settings template of the deploy file and the bounds of a file, behind relays, with servers and clients that keep their connections; a seed draws series of signals, reloads, changes, leaving servers and faults that overlap; the record is judged by LOST, FAULT, TWICE, REFUSED, MIXED, DRAIN, CONFIG, GONE and RECOVER with their excuses.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -60,3 +60,9 @@
   FaultExperimentOptions,
   FaultReport,
 } from './fleet/fault_experiment';
+export {parseSoakBounds} from './processes/soak_bounds';
+export type {SoakBounds} from './processes/soak_bounds';
+export {runProcessSoak} from './processes/soak';
+export type {ProcessSoakOptions, ProcessSoakReport} from './processes/soak';
+export type {SoakFailure} from './processes/soak_checks';
+export type {SoakProfile} from './processes/soak_plan';
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -4,6 +4,7 @@
 import {demoCommand} from './commands/demo';
 import {explainCommand} from './commands/explain';
 import {nodeCommand} from './commands/node';
+import {processSoakCommand} from './commands/process_soak';
 import {settingsCommand} from './commands/settings';
 import {soakCommand} from './commands/soak';
 import {standInCommand} from './commands/stand_in';
@@ -35,6 +36,7 @@
     explain: explainCommand,
     bench: benchCommand,
     soak: soakCommand,
+    'process-soak': processSoakCommand,
     demo: demoCommand,
     'stand-in': standInCommand,
   },
