--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -6,8 +6,16 @@
   StoredObject,
 } from '@goldcresthill/object-store';
 import type {Cancel, Timers} from '@goldcresthill/timers';
+import type {Millis} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 
+/** Position of a node among the watchers. */
+export interface WatcherPosition {
+  readonly count: number;
+  /** Undefined if the node watches only because it hears of no watcher. */
+  readonly rank: number | undefined;
+}
+
 /** Options of ConfigFollower. */
 export interface ConfigFollowerOptions<T> {
   readonly timers: Timers;
@@ -19,8 +27,14 @@
   readonly decode: (text: string) => Result<T, string>;
   /** Whether this node watches the object in the store, rather than receive changes from other nodes. */
   readonly isWatcher: () => boolean;
-  /** Returns the number of nodes that watch the object. */
-  readonly watcherCount: () => number;
+  /** Returns the number of nodes that watch the object, and the rank of this node among them, counted from 0. */
+  readonly watchers: () => WatcherPosition;
+  /**
+   * Interval at which one of the watchers renews its watch, milliseconds. A watch
+   * whose connection has gone silent reports no change and no error, so this
+   * limits the time until a change is noticed.
+   */
+  readonly renewalMs: Millis;
   /** Returns the version of a configuration, which is higher in each later one. */
   readonly versionOf: (config: T) => number;
   readonly onConfig: (config: T, source: string) => void;
@@ -33,9 +47,6 @@
 
 /** Interval at which a node checks whether it has become a watcher, milliseconds. */
 const WATCHER_CHECK_INTERVAL_MS = 500;
-/** Average interval at which one of the fleet's watchers renews its watch, milliseconds, because a watch can stop reporting changes without an error. */
-const FLEET_RENEWAL_MS = 1_500;
-const MIN_WATCH_MS = 3_000;
 /** Longest watch, milliseconds; shorter than the longest wait that the store allows. */
 const MAX_WATCH_MS = 25_000;
 /** Delay before the first read is repeated if the object does not exist, milliseconds. */
@@ -47,6 +58,8 @@
   private objectVersion = 0;
   private cancelPause: Cancel | undefined;
   private closed = false;
+  /** Whether the last watch ended without a change, so that this node keeps its turn among the watchers. */
+  private hasTurn = false;
   private isStoreReachable = true;
   /** Whether the store has no configuration yet. */
   private isAbsent = false;
@@ -114,10 +127,12 @@
     if (!isWatcher && this.held !== undefined) return WATCHER_CHECK_INTERVAL_MS;
     if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
     const usesWatch = isWatcher && (this.objectVersion > 0 || this.isAbsent);
+    const watchMs = this.watchMs();
     const read = usesWatch
-      ? await store.watch(path, this.objectVersion, this.watchMs)
+      ? await store.watch(path, this.objectVersion, watchMs)
       : await store.get(path, {stale: !isWatcher});
     if (this.closed) return 0;
+    this.hasTurn = usesWatch && read.isOk() && read.value === undefined;
     if (read.isErr()) {
       breaker.fail(timers.now());
       this.setStoreReachable(false);
@@ -138,9 +153,12 @@
     return breaker.waitMs(timers.now());
   }
 
-  private get watchMs(): number {
-    const renewalMs = this.options.watcherCount() * FLEET_RENEWAL_MS;
-    return Math.min(MAX_WATCH_MS, Math.max(MIN_WATCH_MS, renewalMs));
+  // A change ends the watches of all watchers at once. The next ones end one
+  // after the other, and each later one takes as long as a round of all watchers.
+  private watchMs(): Millis {
+    const {count, rank} = this.options.watchers();
+    const turns = this.hasTurn || rank === undefined ? count : rank + 1;
+    return Math.min(MAX_WATCH_MS, turns * this.options.renewalMs);
   }
 
   private applyObject(
--- a/packages/node/src/config/config_follower_test.ts
+++ b/packages/node/src/config/config_follower_test.ts
@@ -28,7 +28,8 @@
       return ok(Number(text));
     },
     isWatcher: () => true,
-    watcherCount: () => 1,
+    watchers: () => ({count: 1, rank: 0}),
+    renewalMs: 1_000,
     versionOf: version => version,
     onConfig: version => versions.push(version),
     onStoreReachable: () => undefined,
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -14,6 +14,7 @@
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 import {ConfigFollower} from '../config/config_follower';
+import type {WatcherPosition} from '../config/config_follower';
 import {MemberTask} from '../member/member_task';
 import type {PeerLinks} from '../member/peer_links';
 import {Presence} from '../member/presence';
@@ -64,6 +65,8 @@
 const WATCHERS_PER_DOMAIN = 2;
 /** Time without evidence of a watcher after which a node watches by itself, as a fraction of `configApplyMs`. */
 const WATCH_TIMEOUT_FRACTION = 0.6;
+/** Interval at which one of the watchers renews its watch, as a fraction of `configApplyMs`. */
+const WATCH_RENEWAL_FRACTION = 0.5;
 /** Time within which nodes that start at the same time find each other, milliseconds; lists may be seconds out of date. */
 const STARTUP_GRACE_MS = 3_500;
 /** Interval between gossip rounds, milliseconds. */
@@ -91,7 +94,7 @@
   private readonly presence: Presence;
   private readonly config: ConfigFollower<Config>;
   private membersPending = false;
-  private watcherCount = 1;
+  private watcherPosition: WatcherPosition = {count: 1, rank: undefined};
   private closed = false;
   private cancelResends: Cancel = () => undefined;
   private unsubscribeRestored: () => void = () => undefined;
@@ -268,7 +271,8 @@
       path: configPath,
       decode: decodeConfig,
       isWatcher: () => this.watchDuty.isDue(options.timers.now()),
-      watcherCount: () => this.watcherCount,
+      watchers: () => this.watcherPosition,
+      renewalMs: options.configApplyMs * WATCH_RENEWAL_FRACTION,
       onConfig: (config, source) => {
         const revision = options.versionOf(config);
         events.onConfig(config, source);
@@ -361,11 +365,15 @@
     const {membership} = this.member;
     const reachable = membership.reachable();
     const watchers = watchersOf(reachable, WATCHERS_PER_DOMAIN);
-    this.watcherCount = watchers.size;
     const {address, timers, events} = this.options;
     // A node that does not know others yet would always be chosen.
     const isChosen = reachable.length > 1 && watchers.has(address.nodeId);
     this.watchDuty.setChosen(timers.now(), isChosen);
+    const rank = [...watchers].sort().indexOf(address.nodeId);
+    this.watcherPosition = {
+      count: watchers.size,
+      rank: isChosen ? rank : undefined,
+    };
     this.memberTableFetcher.onMembersChanged();
     events.onMembers(membership.records(), membership.cutDomains);
   }
--- a/packages/test-utils/src/stale_store.ts
+++ b/packages/test-utils/src/stale_store.ts
@@ -26,6 +26,8 @@
 
 /** Duration of each call in virtual time. */
 const CALL_DELAY_MS = 4;
+/** Time after its end at which a watch that has gone silent fails, milliseconds. */
+const WATCH_GRACE_MS = 1_000;
 /** Cost of a read that may be stale, in units of other calls. */
 const STALE_READ_COST = 0.1;
 
@@ -33,6 +35,8 @@
 export class StaleStore extends ObjectStore {
   /** Calls made so far, weighted by their cost. */
   callCost = 0;
+  /** Ends the reports of a pending watch. */
+  private readonly pendingWatches = new Set<() => void>();
   private static readonly writtenAt = new WeakMap<
     MemoryPlatform,
     Map<number, number>
@@ -52,6 +56,11 @@
     super();
   }
 
+  /** Makes the connections of pending watches go silent: the watches report no change, and fail after their time. */
+  silenceWatches(): void {
+    this.pendingWatches.forEach(silence => silence());
+  }
+
   override get(
     path: string,
     {stale = false}: ReadOptions = {},
@@ -115,9 +124,16 @@
               const object = platform.get(path);
               return object?.version === known ? undefined : object;
             };
+            let isSilent = false;
+            const silence = (): void => {
+              isSilent = true;
+            };
+            this.pendingWatches.add(silence);
             const end = (object: StoredObject | undefined): void => {
+              if (isSilent) return;
               unsubscribe();
               unsubscribeRestored();
+              this.pendingWatches.delete(silence);
               this.recordEra(platform.era);
               done(ok(object));
             };
@@ -132,6 +148,10 @@
               clock.after(CALL_DELAY_MS, () => end(object));
             });
             clock.after(waitMs, () => end(undefined));
+            clock.after(waitMs + WATCH_GRACE_MS, () => {
+              if (isSilent) done(err('storeUnavailable'));
+              this.pendingWatches.delete(silence);
+            });
           }),
         ),
     );
