A watcher that the store turns away does not count as live for the others

Cause: a chosen watcher reported an age of 0 to the others whether the store answered it or not, so that they never read the store themselves. Change: WatchDuty vouches for a node only while the store answers it. Other nodes try one after the other, 250 ms apart, until one is answered; it stands in for 10 s.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -17,6 +17,6 @@
 export {successorsOf} from './successors';
 export {RumorQueue} from './rumor_queue';
 export {isMostlySuspect} from './cut_detector';
-export {ownerOf, watchersOf} from './rendezvous';
+export {ownerOf, standbyRankOf, watchersOf} from './rendezvous';
 export {WatchDuty} from './watch_duty';
 export type {WatchDutyOptions} from './watch_duty';
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -15,15 +15,29 @@
   }
   const watchers = new Set<string>();
   for (const list of byDomain.values()) {
-    list.sort(
-      (a, b) =>
-        watchWeight(b) - watchWeight(a) || (a.nodeId < b.nodeId ? -1 : 1),
-    );
+    list.sort(byWatchWeight);
     list.slice(0, perDomain).forEach(node => watchers.add(node.nodeId));
   }
   return watchers;
 }
 
+/** Number of reachable nodes that replace watchers before a node does; 0 for a watcher. */
+export function standbyRankOf(
+  self: NodeAddress,
+  reachable: readonly NodeAddress[],
+  watchers: ReadonlySet<string>,
+): number {
+  if (watchers.has(self.nodeId)) return 0;
+  const weight = watchWeight(self);
+  return reachable.filter(
+    node => !watchers.has(node.nodeId) && watchWeight(node) > weight,
+  ).length;
+}
+
+function byWatchWeight(a: NodeAddress, b: NodeAddress): number {
+  return watchWeight(b) - watchWeight(a) || (a.nodeId < b.nodeId ? -1 : 1);
+}
+
 function watchWeight(node: NodeAddress): number {
   return hashText(`watch|${node.nodeId}`);
 }
--- a/packages/membership/src/watch_duty_test.ts
+++ b/packages/membership/src/watch_duty_test.ts
@@ -34,6 +34,30 @@
     expect([duty.isDue(3_900), duty.isDue(4_100)]).toEqual([false, true]);
   });
 
+  it('a chosen node that the store does not answer is no live watcher', () => {
+    const duty = newDuty();
+    duty.setChosen(0, true);
+    duty.recordStoreCall(5_000, false);
+    expect([duty.isDue(6_000), duty.age(6_000)]).toEqual([true, 1_000]);
+    duty.recordStoreCall(7_000, true);
+    expect(duty.age(7_500)).toBe(0);
+  });
+
+  it('a node replaces the chosen watchers after its delay, once the store answers it, for a while', () => {
+    const duty = newDuty();
+    duty.setStandbyDelay(500);
+    const hearAgeOf = (now: number) => duty.recordWatcherSeen(now, now);
+    for (const now of [500, 1_000, 1_400]) hearAgeOf(now);
+    expect([duty.isDue(1_400), duty.isDue(1_600)]).toEqual([false, true]);
+    duty.recordStoreCall(1_600, false);
+    expect(duty.age(1_600)).toBe(1_600);
+    duty.recordStoreCall(1_700, true);
+    // Other nodes report the evidence that this one gives them.
+    duty.recordWatcherSeen(11_600, 100);
+    expect([duty.isDue(11_600), duty.age(11_600)]).toEqual([true, 0]);
+    expect([duty.isDue(11_800), duty.age(11_800)]).toEqual([false, 300]);
+  });
+
   it('older evidence does not replace newer evidence', () => {
     const duty = newDuty();
     duty.recordWatcherSeen(2_000, 0);
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -38,6 +38,8 @@
   /** Returns the version of a configuration, which is higher in each later one. */
   readonly versionOf: (config: T) => number;
   readonly onConfig: (config: T, source: string) => void;
+  /** Called after each call to the store. */
+  readonly onStoreCall: (isAnswered: boolean) => void;
   /** The store became reachable or unreachable. */
   readonly onStoreReachable: (reachable: boolean) => void;
   /** The object was rejected as invalid; the configuration in force stays. */
@@ -132,6 +134,7 @@
       ? await store.watch(path, this.objectVersion, watchMs)
       : await store.get(path, {stale: !isWatcher});
     if (this.closed) return 0;
+    this.options.onStoreCall(read.isOk());
     this.hasTurn = usesWatch && read.isOk() && read.value === undefined;
     if (read.isErr()) {
       breaker.fail(timers.now());
--- a/packages/node/src/config/config_follower_test.ts
+++ b/packages/node/src/config/config_follower_test.ts
@@ -32,6 +32,7 @@
     renewalMs: 1_000,
     versionOf: version => version,
     onConfig: version => versions.push(version),
+    onStoreCall: () => undefined,
     onStoreReachable: () => undefined,
     onInvalid: () => undefined,
     onFault: err => faults.push(String(err)),
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -1,7 +1,12 @@
 /** Membership, configuration and presence of a node whose store returns lists in pages. */
 import type {Logger} from '@goldcresthill/logger';
 import {runGuarded} from '@goldcresthill/errors';
-import {ownerOf, WatchDuty, watchersOf} from '@goldcresthill/membership';
+import {
+  ownerOf,
+  standbyRankOf,
+  WatchDuty,
+  watchersOf,
+} from '@goldcresthill/membership';
 import type {
   ExchangeMessage,
   QuarantineUpdate,
@@ -67,6 +72,8 @@
 const WATCH_TIMEOUT_FRACTION = 0.6;
 /** Interval at which one of the watchers renews its watch, as a fraction of `configApplyMs`. */
 const WATCH_RENEWAL_FRACTION = 0.5;
+/** Interval at which one more node tries to replace watchers that the store does not answer, milliseconds. */
+const STANDBY_INTERVAL_MS = 250;
 /** Time within which nodes that start at the same time find each other, milliseconds; lists may be seconds out of date. */
 const STARTUP_GRACE_MS = 3_500;
 /** Interval between gossip rounds, milliseconds. */
@@ -278,6 +285,8 @@
         events.onConfig(config, source);
         this.member.post({type: 'setConfigRevision', revision});
       },
+      onStoreCall: isAnswered =>
+        this.watchDuty.recordStoreCall(options.timers.now(), isAnswered),
       onStoreReachable: reachable =>
         logger.warn(reachable ? 'storeRegained' : 'storeLost', {
           configVersion: this.config.version,
@@ -369,6 +378,8 @@
     // A node that does not know others yet would always be chosen.
     const isChosen = reachable.length > 1 && watchers.has(address.nodeId);
     this.watchDuty.setChosen(timers.now(), isChosen);
+    const standbyRank = standbyRankOf(address, reachable, watchers);
+    this.watchDuty.setStandbyDelay(standbyRank * STANDBY_INTERVAL_MS);
     const rank = [...watchers].sort().indexOf(address.nodeId);
     this.watcherPosition = {
       count: watchers.size,
--- a/packages/trials/src/member/sidecar_simulation_test.ts
+++ b/packages/trials/src/member/sidecar_simulation_test.ts
@@ -10,6 +10,16 @@
 const RECOVERY_MS = 15_000;
 /** Longest duration of a watch, within which a restore is noticed although no watch is cut. */
 const NOTICE_MS = 25_000;
+/** Time after a disturbance after which nodes must keep their bounds again. */
+const CONTACT_MS = 3_000;
+/** Longest time by which a disturbance of the store may delay a configuration further. */
+const MAX_STRETCH_MS = 5_000;
+const OUTAGE_MS = 10_000;
+const LONGEST_WATCH_MS = 25_000;
+/** Interval at which one more node may try the store while no watcher is answered. */
+const STANDBY_INTERVAL_MS = 250;
+/** Calls a second of a node that the store does not answer. */
+const CALLS_PER_WATCHER_S = 2;
 const SIZES = [
   {domains: 3, nodes: 9},
   {domains: 4, nodes: 75},
@@ -93,6 +103,49 @@
     expect(await changeConfig(fleet)).toBeDefined();
   });
 
+  // Guards against watchers that the store turns away but the other nodes rely on.
+  it('apply a configuration change in time when the store turns all watchers away', async () => {
+    const fleet = await startFleet(size);
+    for (const index of watcherIndexes(fleet))
+      fleet.nodesWithoutStore.add(fleet.node(index).address.nodeId);
+    // Watches that are open still report changes.
+    await fleet.run(LONGEST_WATCH_MS);
+    const version = fleet.changeConfig();
+    const tookMs = await fleet.runUntil(
+      () => fleet.isInForce(version),
+      CONFIG_APPLY_MS + MAX_STRETCH_MS,
+    );
+    expect(tookMs).toBeDefined();
+  });
+
+  it('apply later changes in time when the watchers have come back', async () => {
+    const fleet = await startFleet(size);
+    for (const index of watcherIndexes(fleet))
+      fleet.nodesWithoutStore.add(fleet.node(index).address.nodeId);
+    await fleet.run(LONGEST_WATCH_MS);
+    fleet.nodesWithoutStore.clear();
+    await fleet.run(CONTACT_MS);
+    for (let i = 0; i < 8; i++) {
+      expect(await changeConfig(fleet)).toBeDefined();
+      await fleet.run(CONTACT_MS);
+    }
+  });
+
+  it('limit their calls to the store while it answers nobody', async () => {
+    const fleet = await startFleet(size);
+    for (const {address} of fleet.liveNodes)
+      fleet.nodesWithoutStore.add(address.nodeId);
+    await fleet.run(1_000);
+    const before = fleet.storeCallsPerNode;
+    await fleet.run(OUTAGE_MS);
+    const calls = (fleet.storeCallsPerNode - before) * size.nodes;
+    const watchers = watcherIndexes(fleet).length;
+    const standbys = OUTAGE_MS / STANDBY_INTERVAL_MS;
+    expect(calls).toBeLessThanOrEqual(
+      (CALLS_PER_WATCHER_S * (watchers + standbys) * OUTAGE_MS) / 1_000,
+    );
+  });
+
   it('apply a configuration change in time, also on a node that no other reaches', async () => {
     const fleet = await startFleet(size);
     const watchers = new Set(watcherIndexes(fleet));
