A caller's path is no longer taken for an operation between nodes

Cause: the data port told operations from calls by the path, which callers choose. Change: a request that names the service of a call is a call, whatever its path; gateways set that header on each call and on no operation, and drop a caller's.

--- a/packages/bench/src/processes/signals_test.ts
+++ b/packages/bench/src/processes/signals_test.ts
@@ -1,126 +1,42 @@
-import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {rmSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {freePorts, PlatformServer} from '@goldcresthill/test-utils';
-import {request} from 'undici';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {readDeployFile} from './deploy_file';
-import type {ProcessExit} from './node_process';
-import {parseSoakBounds} from './soak_bounds';
-import {SoakVm} from './soak_vm';
+import type {SoakVm} from './soak_vm';
+import {ProcessVms} from './testing/process_vms';
 
 const WORK_MS = 1_500;
-const READY_TIMEOUT_MS = 15_000;
-const POLL_MS = 20;
 const SIGNAL_GAP_MS = 150;
 
-let store: PlatformServer;
-let folder: string;
+let processes: ProcessVms;
 let vm: SoakVm;
-let exits: ProcessExit[];
-let vmCount = 0;
-let workMs: number;
 
-const desiredState = {
-  version: 'r1',
-  services: [{name: 'orders', health_check_path: '/healthz'}],
-  limits: {},
-  hosts: [
-    {
-      host: 'shop.example',
-      paths: [
-        {
-          name: 'order',
-          path_prefix: '/',
-          type: 'non_idempotent',
-          timeout: '5s',
-          service: 'orders',
-        },
-      ],
-    },
-  ],
-};
-
-async function until(condition: () => unknown): Promise<void> {
-  const endAt = performance.now() + READY_TIMEOUT_MS;
-  while (!(await condition())) {
-    if (performance.now() > endAt) throw new Error('not in time');
-    await sleep(POLL_MS);
-  }
-}
-
-async function call(): Promise<number> {
-  const {host} = vm.options;
-  const res = await request(`http://${host}:${vm.outboundPort}/`, {
-    method: 'POST',
-    headers: {
-      host: 'shop.example',
-      'x-attempt-id': `a${Math.random()}`,
-      'x-deadline-ms': '5000',
-    },
-    body: 'order',
-  });
-  await res.body.dump();
-  return res.statusCode;
-}
+const call = () => processes.call(0, {path: '/order/', method: 'POST'});
 
 /** Sends signals one after the other while a request is at work; returns its status. */
 async function signalDuringRequest(
   signals: readonly NodeJS.Signals[],
-): Promise<number | string> {
-  const status = call().catch(err => String(err));
+): Promise<number> {
+  const answer = call();
   await sleep(WORK_MS / 5);
   for (const signal of signals) {
     vm.node.signal(signal);
     await sleep(SIGNAL_GAP_MS);
   }
-  return status;
+  return (await answer).status;
 }
 
 describe('the program of the platform', () => {
   beforeEach(async () => {
-    folder = mkdtempSync(join(tmpdir(), 'signals-'));
-    store = new PlatformServer();
-    const storePort = Number(new URL(await store.listen()).port);
-    store.platform.put('config/main', JSON.stringify(desiredState), 0);
-    exits = [];
-    workMs = 0;
-    const [firstPort = 0] = await freePorts(1);
-    vm = await SoakVm.create({
-      name: 'vm-1',
-      domain: 'zone-a',
-      host: `127.50.${process.pid % 250}.${++vmCount}`,
-      firstPort,
-      service: 'orders',
-      storePort,
-      deploy: readDeployFile('.'),
-      folder,
-      bounds: parseSoakBounds(readFileSync('deploy/soak.toml', 'utf8')),
-      slots: 4,
-      serviceMs: () => workMs,
-      restartDelayMs: undefined,
-      events: {
-        onStart: () => undefined,
-        onExit: exit => exits.push(exit),
-        onRun: () => undefined,
-        onRunEnd: () => undefined,
-      },
-    });
+    processes = new ProcessVms();
+    await processes.open(1);
+    vm = processes.vm(0);
   });
 
-  afterEach(async () => {
-    await vm.close();
-    await store.close();
-    rmSync(folder, {recursive: true});
-  });
+  afterEach(() => processes.close());
 
   const startServing = async (): Promise<void> => {
-    vm.node.start();
-    await until(() => vm.isReady());
-    await vm.startServer();
-    await until(async () => (await call()) === 200);
-    workMs = WORK_MS;
+    await processes.start([0]);
+    processes.workMs = WORK_MS;
   };
 
   // Guards against requests that are cut because a further signal ends a process that is stopping.
@@ -132,8 +48,10 @@
   ])('finishes a request at work after %j', async signals => {
     await startServing();
     expect(await signalDuringRequest(signals)).toBe(200);
-    await until(() => exits.length > 0);
-    expect(exits).toMatchObject([{code: 0, signal: null, errors: ''}]);
+    await processes.until(() => processes.exits.length > 0);
+    expect(processes.exits).toMatchObject([
+      {code: 0, signal: null, errors: ''},
+    ]);
   });
 
   // Guards against a process that ends because its settings are read while they are replaced.
@@ -148,7 +66,8 @@
     await sleep(SIGNAL_GAP_MS);
     vm.node.writeSettings();
     vm.node.signal('SIGHUP');
-    expect([await call(), exits]).toEqual([200, []]);
+    const {status} = await call();
+    expect([status, processes.exits]).toEqual([200, []]);
   });
 
   it('starts when the settings are complete only after its start', async () => {
@@ -156,8 +75,8 @@
     rmSync(vm.node.settingsFile);
     await sleep(SIGNAL_GAP_MS * 2);
     vm.node.writeSettings();
-    await until(() => vm.isReady());
-    expect(exits).toEqual([]);
+    await processes.until(() => vm.isReady());
+    expect(processes.exits).toEqual([]);
   });
 
   // Guards against a process that ends with an error, or never, when it is stopped while it starts.
@@ -167,9 +86,9 @@
       vm.node.start();
       await sleep(delayMs);
       vm.node.signal('SIGTERM');
-      await until(() => exits.length > 0);
+      await processes.until(() => processes.exits.length > 0);
       // Until its own code runs, the default action ends the process.
-      const [{code, signal, errors} = {}] = exits;
+      const [{code, signal, errors} = {}] = processes.exits;
       expect([signal === 'SIGTERM' ? 0 : code, errors]).toEqual([0, '']);
     },
   );
@@ -180,8 +99,8 @@
       vm.node.start();
       await sleep(delayMs);
       vm.node.signal('SIGHUP');
-      await until(() => vm.isReady());
-      expect(exits).toEqual([]);
+      await processes.until(() => vm.isReady());
+      expect(processes.exits).toEqual([]);
     },
   );
 });
--- a/packages/bench/src/processes/soak_vm.ts
+++ b/packages/bench/src/processes/soak_vm.ts
@@ -1,6 +1,7 @@
 /** One VM of a soak: a process of the program, its server, and relays on their connections. */
 import {randomBytes} from 'node:crypto';
 import {readFileSync} from 'node:fs';
+import type {IncomingMessage} from 'node:http';
 import {SidecarServer, TcpRelay} from '@goldcresthill/test-utils';
 import type {AnswerFault} from '@goldcresthill/test-utils';
 import {request} from 'undici';
@@ -18,6 +19,7 @@
     attempt: string,
     instance: string,
     fault: AnswerFault | undefined,
+    req: IncomingMessage,
   ) => void;
   readonly onRunEnd: (attempt: string, instance: string) => void;
 }
@@ -120,10 +122,10 @@
       serviceMsOf: serviceMs,
       controlAddress: this.controlAddress,
       faultOf: attempt => this.faultOfAttempt.get(attempt),
-      onRun: attempt => {
+      onRun: (attempt, req) => {
         const fault = this.faults.pop();
         if (fault !== undefined) this.faultOfAttempt.set(attempt, fault);
-        events.onRun(attempt, id, fault);
+        events.onRun(attempt, id, fault, req);
       },
       onRunEnd: attempt => events.onRunEnd(attempt, id),
     });
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -81,7 +81,7 @@
   private handle(req: IncomingMessage, res: ServerResponse): void {
     const path = req.url ?? '/';
     const attempt = header(req, HEADERS.attempt);
-    if (attempt !== undefined && !path.startsWith('/.gh/')) {
+    if (attempt !== undefined && isForwardedCall(req)) {
       this.receiveAttempt(req, res, attempt);
       return;
     }
@@ -243,6 +243,14 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/**
+ * Whether a request is a caller's, which may have any path. Gateways name the
+ * service of each call and of no operation, and forward no such header of a caller.
+ */
+function isForwardedCall(req: IncomingMessage): boolean {
+  return header(req, HEADERS.service) !== undefined;
+}
+
 /** Number in a request header; 0 if it is missing or not a finite number. */
 function numberHeader(req: IncomingMessage, name: string): number {
   const value = Number(header(req, name) ?? 0);
