A stopping node accepts only calls that can end before it closes

Callers saw: requests accepted 1 to 2.4 s after a SIGTERM cut at the end of the grace period without an answer (planned_stop_test.ts on: 8 with work of 2.9 s that waited for a slot, 4 with work of 4.2 s; half of them must not be repeated). Cause: a leaving node passed calls on with their callers' deadlines and closed its connections whatever was on them. Change: the deadline of a new call is capped at the close and the call is marked; a gate refuses a marked call that it does not expect to end in time; calls that are still open at the close are answered. Tried and dropped: refusing by the longest of a route's latest calls, which include waits.

--- a/packages/bench/src/processes/testing/process_vms.ts
+++ b/packages/bench/src/processes/testing/process_vms.ts
@@ -29,6 +29,8 @@
 
 export const VIRTUAL_HOST = 'shop.example';
 const CONFIG_PATH = 'config/main';
+/** Route of the first requests, so that the nodes learn nothing from them about the others. */
+const WARM_UP_PATH = '/warm-up/';
 const WAIT_MS = 15_000;
 const POLL_MS = 20;
 const DEFAULT_DEADLINE_MS = 5_000;
@@ -37,7 +39,7 @@
 let vmCount = 0;
 let attemptCount = 0;
 
-/** Two routes: `/` may be repeated, `/order/` may not. */
+/** Requests of `/` and `/warm-up/` may be repeated, those of `/order/` may not. */
 export function desiredState(timeout = '5s', version = 1): string {
   const route = (prefix: string, type: string) => ({
     name: prefix,
@@ -54,7 +56,11 @@
     hosts: [
       {
         host: VIRTUAL_HOST,
-        paths: [route('/', 'idempotent'), route('/order/', 'non_idempotent')],
+        paths: [
+          route('/', 'idempotent'),
+          route(WARM_UP_PATH, 'idempotent'),
+          route('/order/', 'non_idempotent'),
+        ],
       },
     ],
   });
@@ -117,7 +123,9 @@
     for (const index of serversOn) await this.vm(index).startServer();
     if (serversOn.length === 0) return;
     for (let i = 0; i < this.vms.length; i++)
-      await this.until(async () => (await this.call(i)).status === 200);
+      await this.until(
+        async () => (await this.call(i, {path: WARM_UP_PATH})).status === 200,
+      );
   }
 
   vm(index: number): SoakVm {
--- a/packages/gate/src/forecast.ts
+++ b/packages/gate/src/forecast.ts
@@ -100,6 +100,12 @@
     return now + this.serviceMs(req) * this.tracker.slowdown;
   }
 
+  /** Whether a request that starts now is likely to end by its deadline. */
+  endsByDeadline(now: Millis, req: EstimatedRequest): boolean {
+    const durationMs = this.endIfStarted(now, req) - now;
+    return now + durationMs * DEFAULT_SERVICE_MARGIN <= req.deadline;
+  }
+
   /** When a request is expected to end, given its position in the queue. */
   expectedEnd(
     now: Millis,
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -36,6 +36,8 @@
   readonly objective: Millis;
   /** Whether the caller was refused before. */
   readonly returning: boolean;
+  /** Whether it is refused rather than started if it is not expected to end by its deadline; false by default. */
+  readonly mustEnd?: boolean;
 }
 
 /** Decision about a request that has just arrived. */
@@ -248,7 +250,7 @@
       const req = this.nextStartable(now);
       if (req === undefined) break;
       this.cancelQueued(req.ref);
-      if (req.deadline <= now) {
+      if (this.isTooLate(now, req)) {
         commands.push({type: 'refuse', ref: req.ref, kind: 'deadlineTooShort'});
         continue;
       }
@@ -266,7 +268,7 @@
     if (this.status === 'draining') return 'draining';
     if (this.status === 'down') return 'serverUnreachable';
     if (req.suspect && this.suspectCount > 0) return 'suspectBusy';
-    if (req.deadline <= now) return 'deadlineTooShort';
+    if (this.isTooLate(now, req)) return 'deadlineTooShort';
     const mayMissObjective = mustWait || this.forecast.isSlow;
     if (this.isOn('deadlineCheck') && mayMissObjective) {
       const end = this.expectedEnd(now, req);
@@ -278,6 +280,11 @@
     return mustWait && this.isQueueFullFor(req) ? 'queueFull' : undefined;
   }
 
+  private isTooLate(now: Millis, req: ArrivedRequest): boolean {
+    if (req.deadline <= now) return true;
+    return req.mustEnd === true && !this.forecast.endsByDeadline(now, req);
+  }
+
   private mustWait(now: Millis, req: ArrivedRequest): boolean {
     if (!this.hasSlot(now) || !this.mayStart(now, req)) return true;
     return this.nextStartable(now) !== undefined;
--- a/packages/gate/src/gate_test.ts
+++ b/packages/gate/src/gate_test.ts
@@ -87,6 +87,26 @@
     expect(subject.finish(9, 1, 'ok')).toEqual([{type: 'drained'}]);
   });
 
+  // Guards against work that is started though the gateway of its caller closes before it can end.
+  it('starts a request that must end by its deadline only if it can', () => {
+    const subject = gate(1);
+    const order = {...request(1), route: 'orders', mustEnd: true};
+    expect(subject.admit(0, order).type).toBe('start');
+    subject.finish(100, 1, 'ok');
+    const tooLate = {...order, ref: 2, deadline: 210, objective: 210};
+    expect(subject.admit(100, tooLate)).toEqual({
+      type: 'refuse',
+      kind: 'deadlineTooShort',
+    });
+    expect(subject.admit(100, {...tooLate, mustEnd: false}).type).toBe('start');
+    const queued = {...order, ref: 3, deadline: 340, objective: 340};
+    expect(subject.admit(100, queued).type).toBe('queued');
+    // The running request took longer than expected.
+    expect(subject.finish(240, 2, 'ok')).toEqual([
+      {type: 'refuse', ref: 3, kind: 'deadlineTooShort'},
+    ]);
+  });
+
   it('refuses a request that cannot meet its deadline', () => {
     const subject = gate(1);
     subject.admit(0, request(1));
--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -174,6 +174,7 @@
       objective: now + numberHeader(req, HEADERS.objectiveMs),
       returning: header(req, HEADERS.returning) === '1',
       suspect: header(req, HEADERS.suspect) === '1',
+      mustEnd: header(req, HEADERS.mustEnd) === '1',
       reply: result => writeResult(res, attempt, result),
     };
     let cancel = (): void => undefined;
--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -60,6 +60,8 @@
   /** Whether the caller was refused before and retries. */
   readonly returning: boolean;
   readonly suspect: boolean;
+  /** Whether it is refused rather than started if it is not expected to end by its deadline. */
+  readonly mustEnd: boolean;
   readonly reply: (result: AttemptResult) => void;
 }
 
--- a/packages/node/src/gate/repeated_refusal_test.ts
+++ b/packages/node/src/gate/repeated_refusal_test.ts
@@ -79,6 +79,7 @@
         objective: now + 5_000,
         returning: false,
         suspect: false,
+        mustEnd: false,
         reply: () => undefined,
       });
     });
--- a/packages/node/src/gate/server_link.ts
+++ b/packages/node/src/gate/server_link.ts
@@ -164,7 +164,8 @@
     const ref = this.nextRef++;
     const entry = {req, arrivedAt: now, exchange: undefined, started: false};
     this.requests.set(ref, entry);
-    const {deadline, suspect, route, priority, objective, returning} = req;
+    const {deadline, suspect, route, priority, objective, returning, mustEnd} =
+      req;
     const admission = this.gate.admit(now, {
       ref,
       deadline,
@@ -173,6 +174,7 @@
       priority,
       objective,
       returning,
+      mustEnd,
     });
     this.loadChecker.refresh(() => undefined);
     if (admission.type === 'start') this.start(ref, entry);
--- a/packages/node/src/gate/server_link_test.ts
+++ b/packages/node/src/gate/server_link_test.ts
@@ -74,6 +74,7 @@
     objective: 1_000,
     returning: false,
     suspect: false,
+    mustEnd: false,
     reply: () => undefined,
   };
 }
--- a/packages/node/src/gateway/answer_writer.ts
+++ b/packages/node/src/gateway/answer_writer.ts
@@ -14,6 +14,8 @@
   readonly server?: string;
   /** Whether to close the connection after this answer. */
   readonly closeConnection: boolean;
+  /** Time after which a refused caller may be served, milliseconds, if it is known. */
+  readonly retryAfterMs?: number;
 }
 
 /** Writes the answer of a server. If a streamed answer breaks off, the connection is destroyed. */
--- a/packages/node/src/gateway/call_answerer.ts
+++ b/packages/node/src/gateway/call_answerer.ts
@@ -23,6 +23,8 @@
   readonly callers: CallerInterface;
   /** Whether to close connections after their answers. */
   readonly isClosing: () => boolean;
+  /** Returns the time after which the next process of this node may serve callers, milliseconds; undefined unless this one is leaving. */
+  readonly restartMs: () => number | undefined;
   /**
    * Delay before a caller is told that its call's server died, milliseconds.
    * It lets the quarantine update reach all nodes before a resend.
@@ -95,7 +97,14 @@
 
   private writeError(context: CallContext, kind: ErrorKind): void {
     const {callers} = this.options;
-    callers.writeError(context.res, this.answerContext(context), kind);
+    callers.writeError(
+      context.res,
+      {
+        ...this.answerContext(context),
+        retryAfterMs: this.options.restartMs(),
+      },
+      kind,
+    );
   }
 
   private answerContext(context: CallContext, server?: string): AnswerContext {
--- a/packages/node/src/gateway/call_handler.ts
+++ b/packages/node/src/gateway/call_handler.ts
@@ -59,8 +59,16 @@
 export interface CallHandle {
   /** Reports that the caller has disconnected. */
   readonly callerGone: () => void;
+  /** Ends the call as at its deadline. */
+  readonly expire: () => void;
 }
 
+/** Handle of a call on which its caller has no influence any more. */
+const ENDED_CALL: CallHandle = {
+  callerGone: () => undefined,
+  expire: () => undefined,
+};
+
 /** Handles the calls of one gateway. Calls with an idempotency key are claimed in the store before they run. */
 export class CallHandler {
   readonly quarantine = new Quarantine();
@@ -91,7 +99,7 @@
   ): CallHandle {
     if (this.quarantineStatus(handled) === 'quarantined') {
       done(failed('quarantined'));
-      return {callerGone: () => undefined};
+      return ENDED_CALL;
     }
     const {attributes} = handled.call;
     const isKeyed = attributes.key !== undefined && !attributes.repeatable;
@@ -100,7 +108,7 @@
     }
     this.claim(handled, done);
     // A claimed call continues after its caller has disconnected, so that a resend finds its outcome.
-    return {callerGone: () => undefined};
+    return ENDED_CALL;
   }
 
   /** Returns the state of a call claimed by this gateway and its stored answer, for another gateway. */
@@ -186,7 +194,10 @@
       },
     );
     runner.start();
-    return {callerGone: () => runner.callerGone()};
+    return {
+      callerGone: () => runner.callerGone(),
+      expire: () => runner.expire(),
+    };
   }
 
   private queryLoad(
--- a/packages/node/src/gateway/call_runner.ts
+++ b/packages/node/src/gateway/call_runner.ts
@@ -106,10 +106,9 @@
   start(): void {
     this.startedAt = this.env.timers.now();
     const remainingMs = this.call.attributes.deadline - this.startedAt;
-    this.deadlineTimer = this.env.timers.after(remainingMs, () => {
-      this.timedOut = true;
-      this.dispatch({type: 'deadline'});
-    });
+    this.deadlineTimer = this.env.timers.after(remainingMs, () =>
+      this.expire(),
+    );
     this.env.router.recordCall(this.startedAt);
     this.dispatch({type: 'begin'});
     const hedgeAfterMs = this.env.router.hedgeAfterMs;
@@ -120,6 +119,12 @@
     }
   }
 
+  /** Ends the call as at its deadline. */
+  expire(): void {
+    this.timedOut = true;
+    this.dispatch({type: 'deadline'});
+  }
+
   /** Handles the disconnection of the caller. */
   callerGone(): void {
     if (!this.plan.answered) this.logCallerGone();
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -87,6 +87,7 @@
   if (attributes.route !== '') headers[HEADERS.route] = attributes.route;
   if (attributes.origin !== '') headers[HEADERS.origin] = attributes.origin;
   if (attributes.returning) headers[HEADERS.returning] = '1';
+  if (attributes.mustEnd === true) headers[HEADERS.mustEnd] = '1';
   if (attempt.suspect) headers[HEADERS.suspect] = '1';
   const {method, path, body, maxBufferedBytes} = call;
   const exchange = new HttpExchange(
--- a/packages/node/src/gateway/gate_sender.ts
+++ b/packages/node/src/gateway/gate_sender.ts
@@ -80,6 +80,7 @@
         priority: call.attributes.priority,
         objective: call.attributes.objective,
         returning: call.attributes.returning,
+        mustEnd: call.attributes.mustEnd === true,
         suspect,
         reply: done,
       },
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -15,6 +15,7 @@
 import type {
   AdmissionEstimate,
   AdmissionQuery,
+  Millis,
   Mechanism,
   NodeAddress,
   ServiceRules,
@@ -31,6 +32,7 @@
 import type {CallHead} from './call_head';
 import {CallAnswerer} from './call_answerer';
 import {CallHandler} from './call_handler';
+import type {CallHandle} from './call_handler';
 import type {CallerInterface} from './caller_interface';
 import type {DecisionLog} from './decision_log';
 import {askOwner} from './gate_client';
@@ -70,7 +72,15 @@
   readonly onFault: (err: unknown) => void;
 }
 
+/** When a leaving node stops to accept calls, and when it closes its connections. */
+export interface ClosingTimes {
+  readonly acceptsUntil: Millis;
+  readonly closesAt: Millis;
+}
+
 const EVICT_INTERVAL_MS = 1_000;
+/** Usual time in which a node that accepts no more calls ends and is started again, milliseconds. */
+const RESTART_MS = 500;
 
 /** Gateway of one node: listens for callers and owns the routers and the connections to gates. */
 export class GatewayTask extends Task<GatewayMessage> {
@@ -87,7 +97,10 @@
   private readonly cancelEviction: Cancel;
   private callSeq = 0;
   private openCallCount = 0;
-  private closing = false;
+  /** When the listener stops accepting calls and closes; undefined unless the node is leaving. */
+  private closing: ClosingTimes | undefined;
+  private readonly openCalls = new Set<CallHandle>();
+  private cancelExpiry: Cancel = () => undefined;
   private accepting = true;
 
   constructor(private readonly options: GatewayTaskOptions) {
@@ -121,7 +134,8 @@
       metrics: options.metrics,
       callers: options.callers,
       crashErrorDelayMs: options.crashErrorDelayMs,
-      isClosing: () => this.closing,
+      isClosing: () => this.closing !== undefined,
+      restartMs: () => this.restartMs,
       onFault: options.onFault,
     });
     this.listener = new Listener({
@@ -143,9 +157,16 @@
     return this.listener.listen();
   }
 
-  /** Closes each connection with its next answer from now on. */
-  beginClosing(): void {
-    this.closing = true;
+  /**
+   * Closes each connection with its next answer from now on. A call has to end
+   * before the listener closes: servers refuse those that are not expected to,
+   * and those that are still open then are answered as at their deadline.
+   */
+  beginClosing(closing: ClosingTimes): void {
+    this.closing = closing;
+    this.cancelExpiry = this.timers.after(this.closingMs, () =>
+      this.openCalls.forEach(call => call.expire()),
+    );
   }
 
   /** Refuses new calls from now on; calls in progress continue. */
@@ -157,6 +178,7 @@
   override async close(): Promise<void> {
     this.closed = true;
     this.cancelEviction();
+    this.cancelExpiry();
     this.handler.close();
     await this.listener.close();
     await this.links.close();
@@ -257,7 +279,11 @@
   private receive(req: IncomingMessage, res: ServerResponse): void {
     const startedAt = this.timers.now();
     const callId = this.newCallId(req);
-    const answer: AnswerContext = {callId, closeConnection: this.closing};
+    const answer: AnswerContext = {
+      callId,
+      closeConnection: this.closing !== undefined,
+      retryAfterMs: this.restartMs,
+    };
     this.openCallCount++;
     res.on('close', () => this.openCallCount--);
     try {
@@ -273,6 +299,19 @@
     }
   }
 
+  /** Time until the listener closes, milliseconds; Infinity unless the node is leaving. */
+  private get closingMs(): Millis {
+    if (this.closing === undefined) return Infinity;
+    return Math.max(0, this.closing.closesAt - this.timers.now());
+  }
+
+  /** Time after which the next process of this node may serve callers, milliseconds. */
+  private get restartMs(): Millis | undefined {
+    if (this.closing === undefined) return undefined;
+    const {acceptsUntil} = this.closing;
+    return Math.max(0, acceptsUntil - this.timers.now()) + RESTART_MS;
+  }
+
   private refuseRequest(
     req: IncomingMessage,
     res: ServerResponse,
@@ -355,12 +394,15 @@
     );
     const {maxBufferedBytes, disabled} = router.currentRules;
     const isOn = (mechanism: Mechanism) => !disabled.includes(mechanism);
+    const deadline = startedAt + head.deadlineMs;
+    const closesAt = this.closing?.closesAt ?? Infinity;
     const attributes = {
       callId,
       service,
       repeatable: head.repeatable,
       key: head.key,
-      deadline: startedAt + head.deadlineMs,
+      deadline: Math.min(deadline, closesAt),
+      mustEnd: closesAt < deadline,
       retriesLeft: head.retriesLeft,
       depth: head.depth,
       maxRuns: head.maxRuns,
@@ -381,7 +423,9 @@
       {call, router, sampled, fingerprint},
       outcome => this.answerer.answer(context, outcome),
     );
+    this.openCalls.add(handle);
     res.on('close', () => {
+      this.openCalls.delete(handle);
       if (!res.writableFinished) handle.callerGone();
     });
     this.sender.sendProbes(service, router);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -160,7 +160,10 @@
     const graceMs =
       this.options.settings.node.grace_seconds * MILLIS_PER_SECOND;
     const graceEndsAt = this.timers.now() + graceMs;
-    tasks.gateway.beginClosing();
+    tasks.gateway.beginClosing({
+      acceptsUntil: this.timers.now() + Math.min(LAME_DUCK_MS, graceMs),
+      closesAt: graceEndsAt,
+    });
     tasks.gate.post({type: 'drain'});
     await this.timers.sleep(Math.min(LAME_DUCK_MS, graceMs));
     tasks.gateway.stopAccepting();
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -207,11 +207,15 @@
     logger.info('leaving', {inFlight: this.gate.requestsInFlight});
     const startedAt = timers.now();
     const graceMs = settings.node.grace_seconds * MILLIS_PER_SECOND;
-    this.gateway.beginClosing();
+    const endAt = startedAt + graceMs - CLOSE_RESERVE_MS;
+    const acceptMs = Math.min(LAME_DUCK_MS, graceMs - CLOSE_RESERVE_MS);
+    this.gateway.beginClosing({
+      acceptsUntil: startedAt + acceptMs,
+      closesAt: endAt,
+    });
     this.gate.post({type: 'drain'});
     this.control.leave();
-    const endAt = startedAt + graceMs - CLOSE_RESERVE_MS;
-    await timers.sleep(Math.min(LAME_DUCK_MS, graceMs - CLOSE_RESERVE_MS));
+    await timers.sleep(acceptMs);
     this.gateway.stopAccepting();
     while (!this.isIdle && timers.now() < endAt)
       await timers.sleep(IDLE_POLL_INTERVAL_MS);
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -26,6 +26,8 @@
   once: 'gh-once',
   fingerprint: 'gh-fingerprint',
   suspect: 'gh-suspect',
+  /** Set if the call is refused rather than started when it is not expected to end by its deadline. */
+  mustEnd: 'gh-must-end',
   load: 'gh-load',
   gateUs: 'gh-gate-us',
   resolution: 'gh-resolution',
--- a/packages/trials/src/call/gateway_links.ts
+++ b/packages/trials/src/call/gateway_links.ts
@@ -149,6 +149,7 @@
       priority: attributes.priority,
       objective: attributes.objective,
       returning: attributes.returning,
+      mustEnd: attributes.mustEnd === true,
       suspect,
       reply,
     };
--- a/packages/types/src/call.ts
+++ b/packages/types/src/call.ts
@@ -45,4 +45,6 @@
   readonly objective: Millis;
   /** Whether the caller has been refused before. */
   readonly returning: boolean;
+  /** Whether servers refuse it rather than start it if it is not expected to end by the deadline, as its gateway closes then. */
+  readonly mustEnd?: boolean;
 }
