--- a/packages/bench/src/processes/soak_plan.ts
+++ b/packages/bench/src/processes/soak_plan.ts
@@ -1,5 +1,5 @@
 /** Draws the disturbances of a soak from its seed. */
-import {seededRandom} from '@goldcresthill/test-utils';
+import {ENDLESS_FAULTS, seededRandom} from '@goldcresthill/test-utils';
 import type {AnswerFault} from '@goldcresthill/test-utils';
 
 /** `planned` soaks have only planned work, after which no request may be lost; `mixed` ones have faults as well. */
@@ -86,8 +86,7 @@
   'repeated',
   'garbage',
   'truncated',
-  'endlessHead',
-  'endlessBody',
+  ...ENDLESS_FAULTS,
   'silent',
 ];
 const MIN_DURATION_MS = 100;
--- a/packages/bench/src/processes/soak_vm.ts
+++ b/packages/bench/src/processes/soak_vm.ts
@@ -159,8 +159,8 @@
   }
 
   /** Gives the next answers of the server a fault. */
-  breakAnswers(fault: AnswerFault): void {
-    this.faults = Array<AnswerFault>(FAULTY_ANSWERS).fill(fault);
+  breakAnswers(fault: AnswerFault, answers = FAULTY_ANSWERS): void {
+    this.faults = Array<AnswerFault>(answers).fill(fault);
   }
 
   resetServerLink(): void {
@@ -175,6 +175,11 @@
     this.storeRelay.stall();
   }
 
+  /** Leads the node to another store, on a port of this host; open connections are reset. */
+  moveStoreLink(port: number): void {
+    this.storeRelay.retarget({host: '127.0.0.1', port});
+  }
+
   cutStoreLink(isCut: boolean): void {
     this.storeRelay.disconnect(isCut);
   }
--- a/packages/bench/src/processes/testing/process_vms.ts
+++ b/packages/bench/src/processes/testing/process_vms.ts
@@ -33,6 +33,8 @@
 const WARM_UP_PATH = '/warm-up/';
 const WAIT_MS = 15_000;
 const POLL_MS = 20;
+/** Bytes of a body after which a caller closes its connection. */
+const MAX_BODY_BYTES = 1_048_576;
 const DEFAULT_DEADLINE_MS = 5_000;
 const SLOTS = 8;
 
@@ -190,7 +192,12 @@
   req.end(body);
   const res = await answered;
   const chunks: Buffer[] = [];
-  for await (const chunk of res) chunks.push(chunk as Buffer);
+  let bytes = 0;
+  for await (const chunk of res) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) throw new RangeError('body without end');
+    chunks.push(chunk as Buffer);
+  }
   return {
     status: res.statusCode ?? 0,
     text: Buffer.concat(chunks).toString(),
--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -53,6 +53,8 @@
 
 const QUERY_TIMEOUT_MS = 500;
 const MAX_KEPT_ANSWER_BYTES = 67_108_864;
+/** Several times the text of a configuration or of the largest member table. */
+const MAX_TEXT_BYTES = 8_388_608;
 const EMPTY_BODY = Buffer.alloc(0);
 const OWNER_ANSWERS: readonly OwnerAnswer[] = [
   'running',
@@ -149,7 +151,7 @@
   {host, dataPort}: NodeAddress,
   path: string,
 ): Promise<string | undefined> {
-  const result = await queryOnce(host, dataPort, path, {});
+  const result = await queryOnce(host, dataPort, path, {}, MAX_TEXT_BYTES);
   if (result.type === 'broke' || result.status !== 200) return undefined;
   return result.body.type === 'whole'
     ? result.body.bytes.toString()
@@ -205,10 +207,11 @@
   port: number,
   path: string,
   headers: HeaderMap,
+  maxBufferedBytes = MAX_KEPT_ANSWER_BYTES,
 ): Promise<ExchangeResult> {
   const client = createQueryClient(host, port);
   try {
-    return await exchangeOnce(client, path, headers);
+    return await exchangeOnce(client, path, headers, maxBufferedBytes);
   } finally {
     runGuarded(ignoreCloseError, () => client.destroy());
   }
@@ -218,6 +221,7 @@
   dispatcher: Dispatcher,
   path: string,
   headers: HeaderMap,
+  maxBufferedBytes: number,
 ): Promise<ExchangeResult> {
   return new Promise(done => {
     const req = {
@@ -225,7 +229,7 @@
       path,
       headers,
       body: EMPTY_BODY,
-      maxBufferedBytes: MAX_KEPT_ANSWER_BYTES,
+      maxBufferedBytes,
     };
     const exchange = new HttpExchange(req, result => {
       cancelTimeout();
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -16,5 +16,9 @@
 export {rethrow} from './rethrow';
 export {seededRandom} from './seeded_random';
 export {freePorts} from './free_ports';
-export {SidecarServer} from './sidecar_server';
-export type {AnswerFault, SidecarServerOptions} from './sidecar_server';
+export {ENDLESS_FAULTS, SidecarServer} from './sidecar_server';
+export type {
+  AnswerFault,
+  EndlessFault,
+  SidecarServerOptions,
+} from './sidecar_server';
--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -39,12 +39,25 @@
   | 'garbage'
   /** The connection closes within the body. */
   | 'truncated'
-  /** Header lines or a body without end, until the connection closes. */
-  | 'endlessHead'
-  | 'endlessBody'
+  /** Bytes without end in a part of the answer, until the connection closes. */
+  | EndlessFault
   /** Nothing is sent, and the connection stays open. */
   | 'silent';
 
+/** Part of an answer that does not end. */
+export type EndlessFault = (typeof ENDLESS_FAULTS)[number];
+
+export const ENDLESS_FAULTS = [
+  'endlessHead',
+  'endlessHeader',
+  'endlessInterim',
+  'endlessBody',
+  'endlessBodyUntilClose',
+  'endlessChunkSize',
+  'endlessTrailers',
+  'endlessAfterAnswer',
+] as const;
+
 const HOST = '127.0.0.1';
 /** Slowdown of a server at its usual speed. */
 const NORMAL_SLOWDOWN_PERCENT = 100;
@@ -201,7 +214,8 @@
     const {socket} = res;
     const body = `${id} ${attempt}`;
     const head = {'x-response-signature': id};
-    switch (faultOf?.(attempt)) {
+    const fault = faultOf?.(attempt);
+    switch (fault) {
       case undefined:
         res.writeHead(200, head).end(body);
         return;
@@ -222,20 +236,11 @@
         res.writeHead(200, {...head, 'content-length': body.length + 1});
         res.write(body, () => socket?.destroy());
         return;
-      case 'endlessHead':
-        socket?.write('HTTP/1.1 200 OK\r\n');
-        if (socket)
-          writeEndlessly(
-            socket,
-            ENDLESS_HEADER.repeat(ENDLESS_WRITE_BYTES / ENDLESS_HEADER.length),
-          );
-        return;
-      case 'endlessBody':
-        res.writeHead(200, head);
-        writeEndlessly(res, 'x'.repeat(ENDLESS_WRITE_BYTES));
-        return;
       case 'silent':
         return;
+      default:
+        if (socket)
+          writeEndlessAnswer(socket, fault, rawAnswer(id, attempt, body));
     }
   }
 }
@@ -244,6 +249,34 @@
   return `HTTP/1.1 200 OK\r\nx-attempt-id: ${attempt}\r\nx-response-signature: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** Writes an answer of which one part does not end. */
+function writeEndlessAnswer(
+  socket: Writable,
+  fault: EndlessFault,
+  answer: string,
+): void {
+  const head = 'HTTP/1.1 200 OK\r\n';
+  const signed = answer.slice(head.length, answer.indexOf('content-length'));
+  const chunked = `${head}${signed}transfer-encoding: chunked\r\n\r\n`;
+  const filler = 'x'.repeat(ENDLESS_WRITE_BYTES);
+  const headerLines = ENDLESS_HEADER.repeat(
+    ENDLESS_WRITE_BYTES / ENDLESS_HEADER.length,
+  );
+  const parts: Record<EndlessFault, readonly [string, string]> = {
+    endlessHead: [head, headerLines],
+    endlessHeader: [`${head}x-filler: `, filler],
+    endlessInterim: ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(600)],
+    endlessBody: [chunked, `${filler.length.toString(16)}\r\n${filler}\r\n`],
+    endlessBodyUntilClose: [`${head}${signed}\r\n`, filler],
+    endlessChunkSize: [`${chunked}1;`, filler],
+    endlessTrailers: [`${chunked}0\r\n`, headerLines],
+    endlessAfterAnswer: [answer, filler],
+  };
+  const [start, rest] = parts[fault];
+  socket.write(start);
+  writeEndlessly(socket, rest);
+}
+
 /** Writes as fast as the other end reads, until the stream is closed. */
 function writeEndlessly(stream: Writable, text: string): void {
   while (!stream.destroyed && stream.write(text)) {
--- a/packages/test-utils/src/tcp_relay.ts
+++ b/packages/test-utils/src/tcp_relay.ts
@@ -14,7 +14,7 @@
   private readonly sockets = new Set<Socket>();
   private refusing = false;
 
-  private readonly target: RelayTarget;
+  private target: RelayTarget;
 
   constructor(target: number | RelayTarget) {
     this.target =
@@ -36,6 +36,12 @@
     }
   }
 
+  /** Closes the open connections and forwards new ones to another target. */
+  retarget(target: RelayTarget): void {
+    this.target = target;
+    this.disconnect();
+  }
+
   /** Closes the open connections, and from now on closes new ones at once if `refusing`. */
   disconnect(refusing = false): void {
     this.refusing = refusing;
