A listener that stops accepting reads the requests that have arrived

Cause: http.Server.close destroys connections whose request has not been read. Change: only the port is closed; idle connections are closed 0.1 s later. Result: listener_test.ts failed before (no answer), passes.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -1,11 +1,13 @@
 /** HTTP listener with the limits that apply to all ports of a node. */
 import {createServer, STATUS_CODES} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {answerFor, runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind, FaultListener} from '@goldcresthill/errors';
 import {HEADERS} from '@goldcresthill/protocol';
+import {runAfter} from '@goldcresthill/timers';
 
 /** Options of Listener. */
 export interface ListenerOptions {
@@ -31,6 +33,8 @@
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 /** Longer than clients keep an idle connection, so that they never send on a closing one. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+/** Time in which requests that have arrived are read once no more connections are accepted, milliseconds. */
+const IDLE_CLOSE_DELAY_MS = 100;
 /** Interval of the checks of a timeout, as a share of it. */
 const TIMEOUT_CHECK_SHARE = 1 / 3;
 
@@ -89,10 +93,11 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Stops accepting connections; requests in progress complete. */
+  /** Stops accepting connections. Requests in progress complete, and those that have arrived unread are handled. */
   stopAccepting(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The HTTP server's own close also destroys connections whose request has not been read yet.
+    NetServer.prototype.close.call(this.server);
+    runAfter(IDLE_CLOSE_DELAY_MS, () => this.server.closeIdleConnections());
   }
 
   /** Runs a step of handling a request. If it throws or rejects, the error is reported and only this request ends. */
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import {rethrow} from '@goldcresthill/test-utils';
 import {afterEach, describe, expect, it} from 'vitest';
 import {Listener} from './listener';
@@ -83,6 +84,35 @@
     `);
   });
 
+  // Guards against a close that cuts requests which have arrived but have not been read.
+  it('handles a request that has arrived when it stops accepting, and closes idle connections then', async () => {
+    listener = new Listener({
+      host: '127.0.0.1',
+      port: 0,
+      onFault: rethrow,
+      handle: (_req, res) => {
+        res.end('handled');
+      },
+    });
+    const port = await listener.listen();
+    const open = (): Promise<Socket> =>
+      new Promise(done => {
+        const socket = connect(port, '127.0.0.1', () => done(socket));
+      });
+    const [active, idle] = [await open(), await open()];
+    // The listener has accepted both connections.
+    await new Promise(done => setTimeout(done, 50));
+    const idleClosed = new Promise(done => idle.on('close', done));
+    const answered = new Promise(done =>
+      active.once('data', data => done(String(data).split('\r\n')[0])),
+    );
+    idle.resume();
+    active.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+    listener.stopAccepting();
+    expect(await answered).toBe('HTTP/1.1 200 OK');
+    await idleClosed;
+  });
+
   it('answers 431 to a header block over the limit', async () => {
     const header = `x-long: ${'x'.repeat(MAX_HEADER_BYTES)}`;
     const answer = await sendRaw(
