Interim answers without end fail an exchange at once; tests of SIGHUP wait for the handler

Cause: a node read 1xx answers until the deadline, and beside load answered other callers late (endless_bytes_test.ts, 2.3 s for 1.5 s). The tests of SIGHUP used fixed delays, at which a busy machine still runs code before ours (3 of 4 failed beside load). Change: 16 interim answers at most; the tests wait until the process handles the signal, and one sends it before the settings are read.

--- a/packages/bench/src/processes/node_process.ts
+++ b/packages/bench/src/processes/node_process.ts
@@ -1,8 +1,14 @@
 /** The program of the platform as a real process of one VM. */
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {createWriteStream, renameSync, writeFileSync} from 'node:fs';
+import {
+  createWriteStream,
+  readFileSync,
+  renameSync,
+  writeFileSync,
+} from 'node:fs';
 import type {WriteStream} from 'node:fs';
+import {constants} from 'node:os';
 import {join} from 'node:path';
 import type {DeployFile, TemplateFields} from './deploy_file';
 import {renderTemplate} from './deploy_file';
@@ -117,6 +123,15 @@
     return this.child !== undefined;
   }
 
+  /** Whether the process handles a signal, rather than leave it to the default action. */
+  catches(signal: NodeJS.Signals): boolean {
+    const {pid} = this;
+    if (pid === undefined) return false;
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    const mask = BigInt(`0x${/^SigCgt:\s*(\w+)$/m.exec(status)?.[1] ?? 0}`);
+    return ((mask >> BigInt(constants.signals[signal] - 1)) & 1n) === 1n;
+  }
+
   /** Sends a signal to the process, if it runs. */
   signal(signal: NodeJS.Signals): void {
     if (!HARMLESS_SIGNALS.has(signal)) this.wasEnded = true;
--- a/packages/bench/src/processes/signals_test.ts
+++ b/packages/bench/src/processes/signals_test.ts
@@ -93,14 +93,27 @@
     },
   );
 
-  it.each([60, 90, 120, 160])(
-    'goes on when it gets SIGHUP %i ms after its start',
-    async delayMs => {
-      vm.node.start();
-      await sleep(delayMs);
+  // Until its own code runs, the default action of SIGHUP ends the process; that must run before the settings are read.
+  it('goes on when it gets SIGHUP before it has read its settings', async () => {
+    vm.node.start();
+    rmSync(vm.node.settingsFile);
+    await processes.until(() => vm.node.catches('SIGHUP'));
+    for (let i = 0; i < 3; i++) {
       vm.node.signal('SIGHUP');
-      await processes.until(() => vm.isReady());
-      expect(processes.exits).toEqual([]);
-    },
-  );
+      await sleep(SIGNAL_GAP_MS);
+    }
+    vm.node.writeSettings();
+    await processes.until(() => vm.isReady());
+    expect(processes.exits).toEqual([]);
+  });
+
+  it('goes on when it gets SIGHUP again and again while it starts', async () => {
+    vm.node.start();
+    await processes.until(() => vm.node.catches('SIGHUP'));
+    await processes.until(() => {
+      vm.node.signal('SIGHUP');
+      return vm.isReady();
+    });
+    expect(processes.exits).toEqual([]);
+  });
 });
--- a/packages/bench/src/processes/soak.ts
+++ b/packages/bench/src/processes/soak.ts
@@ -17,12 +17,14 @@
 import {planSoak} from './soak_plan';
 import type {SoakAction, SoakProfile} from './soak_plan';
 import {SoakRecord} from './soak_record';
-import type {
-  Disturbance,
-  DisturbanceKind,
-  SoakRoute,
-  SoakService,
-} from './soak_record';
+import type {Disturbance, DisturbanceKind, SoakService} from './soak_record';
+import {
+  desiredState,
+  loopbackAddress,
+  ROUTE_TIMEOUT_MS,
+  SERVICES,
+  VIRTUAL_HOST,
+} from './soak_setup';
 import {SoakVm} from './soak_vm';
 
 /** Options of runProcessSoak. */
@@ -56,13 +58,10 @@
 }
 
 const DOMAINS = ['zone-a', 'zone-b', 'zone-c'];
-const SERVICES: readonly SoakService[] = ['orders', 'booking'];
-const VIRTUAL_HOST = 'shop.example';
 const CONFIG_PATH = 'config/main';
 const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
 const DEADLINE_MS = 2_500;
-const ROUTE_TIMEOUT_MS = 2_000;
 const RESTART_DELAY_MS = 300;
 const SERVER_SLOTS = 16;
 /** Work of a request, milliseconds. */
@@ -467,42 +466,3 @@
     this.record.changes.push({ackedAt: this.now(), service});
   }
 }
-
-function desiredState(version: number, movingService: SoakService): string {
-  const route = (
-    name: SoakRoute,
-    type: 'idempotent' | 'non_idempotent',
-    service: SoakService,
-  ) => ({
-    name,
-    path_prefix: `/${name}/`,
-    type,
-    timeout: `${ROUTE_TIMEOUT_MS}ms`,
-    target_latency: '500ms',
-    priority: 0,
-    service,
-    attempts: 2,
-  });
-  return JSON.stringify({
-    version: `r${version}`,
-    services: SERVICES.map(name => ({name, health_check_path: '/healthz'})),
-    limits: {max_body_bytes: 1_048_576},
-    hosts: [
-      {
-        host: VIRTUAL_HOST,
-        paths: [
-          route('lookup', 'idempotent', 'orders'),
-          route('order', 'non_idempotent', 'booking'),
-          route('moving', 'idempotent', movingService),
-        ],
-      },
-    ],
-  });
-}
-
-/** Loopback address of a VM; other processes use other ones. */
-function loopbackAddress(index: number): string {
-  const low = process.pid % 256;
-  const high = 64 + (Math.floor(process.pid / 256) % 64);
-  return `127.${high}.${low}.${index + 1}`;
-}
--- a/packages/node/src/gate/endless_answer_test.ts
+++ b/packages/node/src/gate/endless_answer_test.ts
@@ -65,6 +65,18 @@
     },
   );
 
+  // Guards against a process that reads interim answers until the deadline and serves no other request.
+  it('in interim answers: fails at once', async () => {
+    const server = new EndlessServer('interimAnswers');
+    const port = await server.listen();
+    const connections = new HttpServerConnections({host: HOST, port}, 2);
+    const {result, tookMs} = await exchange(connections);
+    await connections.close();
+    await server.close();
+    expect(result.type).toBe('broke');
+    expect(tookMs).toBeLessThan(DEADLINE_MS / 2);
+  });
+
   it('in the body: reads no more than the caller consumes', async () => {
     const server = new EndlessServer('chunk');
     const port = await server.listen();
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -44,6 +44,8 @@
 
 /** Message of the error that ends an exchange whose answer was rejected by `accepts`. */
 export const INVALID_ANSWER = 'answer not accepted';
+/** Interim answers (1xx) after which a peer is taken to send them without end, which would keep this process busy. */
+const MAX_INTERIM_ANSWERS = 16;
 const EMPTY_BODY = Buffer.alloc(0);
 
 /**
@@ -57,6 +59,7 @@
   private sent = false;
   private ended = false;
   private status = 0;
+  private interimAnswers = 0;
   private headers: IncomingHttpHeaders = {};
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
@@ -113,7 +116,12 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.interimAnswers++;
+      if (this.interimAnswers > MAX_INTERIM_ANSWERS)
+        controller.abort(new Error(INVALID_ANSWER));
+      return;
+    }
     this.status = status;
     this.headers = headers;
     if (this.req.accepts?.(status, headers) === false) {
--- a/packages/test-utils/src/endless_server.ts
+++ b/packages/test-utils/src/endless_server.ts
@@ -4,7 +4,13 @@
 
 /** Part of the response that does not end. */
 export type EndlessPart =
-  'statusLine' | 'headerName' | 'headers' | 'chunkSize' | 'chunk' | 'trailers';
+  | 'interimAnswers'
+  | 'statusLine'
+  | 'headerName'
+  | 'headers'
+  | 'chunkSize'
+  | 'chunk'
+  | 'trailers';
 
 const HOST = '127.0.0.1';
 const WRITE_BYTES = 16_384;
@@ -12,6 +18,7 @@
 const CHUNK = `${WRITE_BYTES.toString(16)}\r\n${'x'.repeat(WRITE_BYTES)}\r\n`;
 
 const PREFIXES: Record<EndlessPart, string> = {
+  interimAnswers: '',
   statusLine: 'HTTP/1.1 200 ',
   headerName: 'HTTP/1.1 200 OK\r\nx-',
   headers: 'HTTP/1.1 200 OK\r\n',
@@ -21,6 +28,7 @@
 };
 
 const FILLERS: Record<EndlessPart, string> = {
+  interimAnswers: 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(500),
   statusLine: 'x'.repeat(WRITE_BYTES),
   headerName: 'x'.repeat(WRITE_BYTES),
   headers: 'x-filler: yyyyyyyyyyyyyyyy\r\n'.repeat(500),
