Limits of the desired state: max_header_bytes, header_timeout, idle_timeout in force

Cause: decodeDesiredState read max_body_bytes only, and Listener gave its limits to the HTTP server once, when it was created.

Change: the limits are part of the configuration and are set on the callers' listener with it; the port for other nodes makes room for the same heads. The parser of a connection takes twice the limit and each request is checked against the limit in force, so that changes apply to open connections; those whose parser is too small are closed with their next answer.

Ruled out: one high limit for all parsers, for the memory of many connections.

--- a/packages/node/src/gate/data_listener.ts
+++ b/packages/node/src/gate/data_listener.ts
@@ -47,6 +47,10 @@
   members: '/.gh/members',
 } as const;
 
+/** Largest head of a request of another node, bytes, unless a caller's may be larger. */
+const MIN_HEADER_BYTES = 65_536;
+/** Bytes that a gateway may add to a caller's head. */
+const GATEWAY_HEADER_BYTES = 16_384;
 const MAX_BODY_BYTES = 67_108_864;
 const BODY_TIMEOUT_MS = 30_000;
 
@@ -60,7 +64,7 @@
       host,
       port,
       onFault,
-      maxHeaderBytes: 65_536,
+      maxHeaderBytes: MIN_HEADER_BYTES,
       onConnection: () => options.dispatchQueue.recordConnection(),
       handle: (req, res) => this.handle(req, res),
     });
@@ -70,6 +74,15 @@
     return this.listener.listen();
   }
 
+  /** Makes room for callers' heads of the given size. */
+  setMaxCallerHeaderBytes(bytes = 0): void {
+    const maxHeaderBytes = Math.max(
+      MIN_HEADER_BYTES,
+      bytes + GATEWAY_HEADER_BYTES,
+    );
+    this.listener.setLimits({maxHeaderBytes});
+  }
+
   stopAccepting(): void {
     this.listener.stopAccepting();
   }
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -27,6 +27,7 @@
 import type {BodyBudget} from '../http/request_body';
 import {hasBody, readBody} from '../http/request_body';
 import {Listener} from '../http/listener';
+import type {ListenerLimits} from '../http/listener';
 import {Task} from '../task';
 import type {AnswerContext} from './answer_writer';
 import type {CallHead} from './call_head';
@@ -157,6 +158,11 @@
     return this.listener.listen();
   }
 
+  /** Sets the limits of callers' requests; the options apply where one is missing. */
+  setCallerLimits(limits: Partial<ListenerLimits>): void {
+    this.listener.setLimits(limits);
+  }
+
   /**
    * Closes each connection with its next answer from now on. A call has to end
    * before the listener closes: servers refuse those that are not expected to,
--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -9,8 +9,18 @@
 import {HEADERS} from '@goldcresthill/protocol';
 import {runAfter} from '@goldcresthill/timers';
 
-/** Options of Listener. */
-export interface ListenerOptions {
+/** What a client may send, and for how long it may send or stay idle. */
+export interface ListenerLimits {
+  /** Largest head of a request, bytes; at most 1 MiB is in force. */
+  readonly maxHeaderBytes: number;
+  /** Longest time to receive the head of a request, milliseconds, checked once a second. */
+  readonly headersTimeoutMs: number;
+  /** Time after which an idle connection is closed, milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Options of Listener. The limits are in force where `setLimits` sets none. */
+export interface ListenerOptions extends Partial<ListenerLimits> {
   readonly host: string;
   readonly port: number;
   /** Handles a request; if it fails, the request is answered with an internal error. */
@@ -23,59 +33,64 @@
   readonly maxConnections?: number;
   /** Called for each accepted connection. */
   readonly onConnection?: () => void;
-  readonly maxHeaderBytes?: number;
-  /** Maximum time to receive the headers of a request, milliseconds, checked at intervals of a third of it. */
-  readonly headersTimeoutMs?: number;
 }
 
 const DEFAULT_MAX_CONNECTIONS = 16_384;
-const DEFAULT_MAX_HEADER_BYTES = 16_384;
-const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
-/** Longer than clients keep an idle connection, so that they never send on a closing one. */
-const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+const DEFAULT_LIMITS: ListenerLimits = {
+  maxHeaderBytes: 16_384,
+  headersTimeoutMs: 10_000,
+  // Longer than clients keep an idle connection, so that they never send on a closing one.
+  idleTimeoutMs: 60_000,
+};
+/** Upper bound of all limits of heads, for the memory of many connections, bytes. */
+const MAX_HEADER_BYTES = 1_048_576;
+/** Longest time that timers of Node.js take, milliseconds. */
+const MAX_TIMEOUT_MS = 2_147_483_647;
+/** Parsers of connections take heads of this multiple of the limit, so that a higher limit applies to open connections. */
+const PARSER_HEADROOM = 2;
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 /** Time in which requests that have arrived are read once no more connections are accepted, milliseconds. */
 const IDLE_CLOSE_DELAY_MS = 100;
-/** Interval of the checks of a timeout, as a share of it. */
-const TIMEOUT_CHECK_SHARE = 1 / 3;
+
+const CLIENT_ERROR_KINDS: ReadonlyMap<string, ErrorKind> = new Map([
+  ['HPE_HEADER_OVERFLOW', 'headersTooLarge'],
+]);
+
+interface Connection {
+  readonly openResponses: Set<ServerResponse>;
+  /** Largest head that its parser takes, bytes. */
+  readonly parserBytes: number;
+}
 
 /** One listening port. */
 export class Listener {
   private readonly server: Server;
-  private readonly openResponses = new WeakMap<Socket, Set<ServerResponse>>();
+  private readonly connections = new Map<Socket, Connection>();
+  private limits: ListenerLimits;
 
   constructor(private readonly options: ListenerOptions) {
-    const headersTimeoutMs =
-      options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS;
+    this.limits = this.withDefaults({});
     this.server = createServer(
       {
-        maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
-        headersTimeout: headersTimeoutMs,
-        connectionsCheckingInterval: Math.ceil(
-          headersTimeoutMs * TIMEOUT_CHECK_SHARE,
-        ),
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         // Bodies have a separate timeout, set by the rules of the service.
         requestTimeout: 0,
-        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         noDelay: true,
         insecureHTTPParser: false,
       },
-      (req, res) => {
-        this.openResponses.get(req.socket)?.add(res);
-        res.on('close', () => this.openResponses.get(req.socket)?.delete(res));
-        this.guard(res, () => options.handle(req, res));
-      },
+      (req, res) => this.receive(req, res),
     );
+    this.applyLimits();
     this.server.on('connection', socket => {
-      this.closeResponsesWith(socket);
+      this.addConnection(socket);
       options.onConnection?.();
     });
     this.server.maxConnections =
       options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      const isTooLarge = err.code === 'HPE_HEADER_OVERFLOW';
       rejectConnection(
         socket,
-        isTooLarge ? 'headersTooLarge' : 'malformedRequest',
+        CLIENT_ERROR_KINDS.get(err.code ?? '') ?? 'malformedRequest',
       );
     });
     this.server.on('connect', (_req, socket) =>
@@ -97,7 +112,7 @@
   stopAccepting(): void {
     // The HTTP server's own close also destroys connections whose request has not been read yet.
     NetServer.prototype.close.call(this.server);
-    runAfter(IDLE_CLOSE_DELAY_MS, () => this.server.closeIdleConnections());
+    runAfter(IDLE_CLOSE_DELAY_MS, () => this.closeIdleConnections());
   }
 
   /** Runs a step of handling a request. If it throws or rejects, the error is reported and only this request ends. */
@@ -108,12 +123,69 @@
     }, step);
   }
 
+  /** Sets the limits from now on, for open connections too; the options apply where a limit is missing. */
+  setLimits(limits: Partial<ListenerLimits>): void {
+    this.limits = this.withDefaults(limits);
+    this.applyLimits();
+    const {maxHeaderBytes, idleTimeoutMs} = this.limits;
+    let mustRenew = false;
+    for (const [socket, {parserBytes, openResponses}] of this.connections) {
+      // The timeout of a socket is 0 while a request is in progress.
+      if (socket.timeout) socket.setTimeout(idleTimeoutMs);
+      if (parserBytes >= maxHeaderBytes) continue;
+      mustRenew = true;
+      for (const res of openResponses) res.shouldKeepAlive = false;
+    }
+    if (mustRenew) this.closeIdleConnections();
+  }
+
+  private closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+  }
+
+  private withDefaults(limits: Partial<ListenerLimits>): ListenerLimits {
+    const limit = (name: keyof ListenerLimits, max: number): number =>
+      Math.min(
+        Math.ceil(limits[name] ?? this.options[name] ?? DEFAULT_LIMITS[name]),
+        max,
+      );
+    return {
+      maxHeaderBytes: limit('maxHeaderBytes', MAX_HEADER_BYTES),
+      headersTimeoutMs: limit('headersTimeoutMs', MAX_TIMEOUT_MS),
+      idleTimeoutMs: limit('idleTimeoutMs', MAX_TIMEOUT_MS),
+    };
+  }
+
+  private applyLimits(): void {
+    const {maxHeaderBytes, headersTimeoutMs, idleTimeoutMs} = this.limits;
+    this.server.headersTimeout = headersTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+    // Node.js reads it for each connection that it accepts.
+    Object.assign(this.server, {
+      maxHeaderSize: maxHeaderBytes * PARSER_HEADROOM,
+    });
+  }
+
+  private receive(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.connections.get(req.socket);
+    connection?.openResponses.add(res);
+    res.on('close', () => connection?.openResponses.delete(res));
+    const {maxHeaderBytes} = this.limits;
+    if (connection !== undefined && connection.parserBytes < maxHeaderBytes)
+      res.shouldKeepAlive = false;
+    if (headBytes(req) > maxHeaderBytes) answerKind(res, 'headersTooLarge');
+    else this.guard(res, () => this.options.handle(req, res));
+  }
+
   // Node.js closes only the response that it is writing, not those of requests pipelined behind it.
-  private closeResponsesWith(socket: Socket): void {
-    const responses = new Set<ServerResponse>();
-    this.openResponses.set(socket, responses);
+  private addConnection(socket: Socket): void {
+    const openResponses = new Set<ServerResponse>();
+    const {maxHeaderBytes} = this.limits;
+    const parserBytes = maxHeaderBytes * PARSER_HEADROOM;
+    this.connections.set(socket, {openResponses, parserBytes});
     socket.on('close', () => {
-      for (const res of [...responses]) {
+      this.connections.delete(socket);
+      for (const res of [...openResponses]) {
         if (res.socket !== null) continue;
         res.destroy();
         res.emit('close');
@@ -139,7 +211,11 @@
     res.destroy();
     return;
   }
-  const kind: ErrorKind = 'internal';
+  answerKind(res, 'internal');
+}
+
+/** Answers a request that is not handled, and closes its connection. */
+function answerKind(res: ServerResponse, kind: ErrorKind): void {
   const {status, runState, resendSafe} = answerFor(kind);
   res
     .writeHead(status, {
@@ -151,6 +227,14 @@
     .end();
 }
 
+/** Size of a request's head as the parser counts it: the target, and the names and values of the headers. */
+function headBytes({url, rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce(
+    (bytes, text) => bytes + text.length,
+    url?.length ?? 0,
+  );
+}
+
 /** Answers input that node:http does not deliver as a request. */
 function rejectConnection(socket: Duplex, kind: ErrorKind): void {
   if (!socket.writable) {
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {rethrow} from '@goldcresthill/test-utils';
 import {afterEach, describe, expect, it} from 'vitest';
 import {Listener} from './listener';
@@ -7,8 +8,68 @@
 
 const MAX_HEADER_BYTES = 2_048;
 
+/** Request with a head of about the given size. */
+function requestOf(headBytes: number): string {
+  return `GET / HTTP/1.1\r\nhost: a\r\nx-fill: ${'x'.repeat(headBytes)}\r\n\r\n`;
+}
+
 let listener: Listener | undefined;
 
+/** A caller's connection and the status lines that it has received. */
+class RawConnection {
+  readonly statusLines: string[] = [];
+  readonly closed: Promise<void>;
+  isClosed = false;
+
+  private constructor(readonly socket: Socket) {
+    socket.on('data', data =>
+      this.statusLines.push(
+        ...(String(data).match(/HTTP\/1\.1 \d+/g) ?? []).map(line =>
+          line.slice(-3),
+        ),
+      ),
+    );
+    socket.on('error', () => undefined);
+    this.closed = new Promise(done =>
+      socket.on('close', () => {
+        this.isClosed = true;
+        done();
+      }),
+    );
+  }
+
+  static open(port: number): Promise<RawConnection> {
+    return new Promise(done => {
+      const socket = connect(port, '127.0.0.1', () =>
+        done(new RawConnection(socket)),
+      );
+    });
+  }
+
+  /** Sends text and waits for the next status line, or for the end of the connection. */
+  async send(text: string): Promise<string | undefined> {
+    const count = this.statusLines.length;
+    this.socket.write(text);
+    while (this.statusLines.length === count && !this.isClosed) await sleep(5);
+    return this.statusLines[count];
+  }
+}
+
+async function listen(
+  options: Partial<ListenerOptions> = {},
+): Promise<{listener: Listener; port: number}> {
+  listener = new Listener({
+    host: '127.0.0.1',
+    port: 0,
+    onFault: rethrow,
+    handle: (_req, res) => {
+      res.end('handled');
+    },
+    ...options,
+  });
+  return {listener, port: await listener.listen()};
+}
+
 /** Sends text on a raw connection and returns everything that it receives. */
 async function sendRaw(text: string): Promise<string> {
   listener = new Listener({
@@ -122,6 +183,69 @@
     expect(answer).toContain('gh-error-kind: headersTooLarge');
   });
 
+  // Guards against limits that stay at their first values.
+  it('applies changed limits of heads to new connections and open ones', async () => {
+    const {listener, port} = await listen();
+    const open = await RawConnection.open(port);
+    const answers = [await open.send(requestOf(20_000))];
+    listener.setLimits({maxHeaderBytes: 30_000});
+    const kept = await RawConnection.open(port);
+    answers.push(await kept.send(requestOf(20_000)));
+    listener.setLimits({maxHeaderBytes: 50_000});
+    answers.push(await kept.send(requestOf(40_000)));
+    listener.setLimits({maxHeaderBytes: 4_000});
+    answers.push(await kept.send(requestOf(3_000)));
+    answers.push(await kept.send(requestOf(5_000)));
+    listener.setLimits({});
+    const last = await RawConnection.open(port);
+    answers.push(await last.send(requestOf(5_000)));
+    answers.push(await last.send(requestOf(17_000)));
+    expect(answers).toEqual(['431', '200', '200', '200', '431', '200', '431']);
+  });
+
+  it('closes a connection that cannot take the largest head after its next answer', async () => {
+    const {listener, port} = await listen({
+      handle: (_req, res) => {
+        setTimeout(() => res.end('handled'), 100);
+      },
+    });
+    const [idle, busy] = [
+      await RawConnection.open(port),
+      await RawConnection.open(port),
+    ];
+    await idle.send(requestOf(10));
+    const answer = busy.send(requestOf(10));
+    await sleep(50);
+    listener.setLimits({maxHeaderBytes: 200_000});
+    await Promise.all([idle.closed, busy.closed]);
+    expect([await answer, busy.statusLines]).toEqual(['200', ['200']]);
+    const renewed = await RawConnection.open(port);
+    expect(await renewed.send(requestOf(150_000))).toBe('200');
+  });
+
+  it('takes times beyond those of timers, and fractions', async () => {
+    const {listener, port} = await listen();
+    const timeouts = [1e12, 0.5, 1e12];
+    for (const ms of timeouts) {
+      listener.setLimits({headersTimeoutMs: ms, idleTimeoutMs: ms});
+      // The listener checks its connections once a second.
+      await sleep(1_100);
+    }
+    const open = await RawConnection.open(port);
+    expect(await open.send(requestOf(10))).toBe('200');
+  });
+
+  it('applies a changed idle timeout to idle connections', async () => {
+    const {listener, port} = await listen({idleTimeoutMs: 300});
+    const used = await RawConnection.open(port);
+    await used.send(requestOf(10));
+    listener.setLimits({idleTimeoutMs: 60_000});
+    await sleep(2_000);
+    expect(used.isClosed).toBe(false);
+    listener.setLimits({idleTimeoutMs: 100});
+    await used.closed;
+  });
+
   it('answers 400 to input that is not an HTTP request', async () => {
     const answer = await sendRaw('nonsense\r\n\r\n');
     expect(answer).toMatch(/^HTTP\/1\.1 400 /);
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -364,7 +364,7 @@
   }
 
   private onConfig(config: SidecarConfig, source: string): void {
-    const {version, routes} = config;
+    const {version, routes, callerLimits} = config;
     const {off} = this.options.settings.ablation;
     const rules = new Map(
       [...config.rules].map(([service, rule]) => [
@@ -378,6 +378,8 @@
       routes: routes.length,
     });
     this.options.onConfig(config);
+    this.gateway.setCallerLimits(callerLimits);
+    this.dataListener.setMaxCallerHeaderBytes(callerLimits.maxHeaderBytes);
     this.gateway.post({type: 'configure', rules});
     this.gate.post({type: 'configure', rules});
   }
--- a/packages/test-utils/src/sidecar_server.ts
+++ b/packages/test-utils/src/sidecar_server.ts
@@ -58,6 +58,7 @@
   'endlessAfterAnswer',
 ] as const;
 
+const MAX_HEADER_BYTES = 1_048_576;
 const HOST = '127.0.0.1';
 /** Slowdown of a server at its usual speed. */
 const NORMAL_SLOWDOWN_PERCENT = 100;
@@ -90,7 +91,9 @@
   constructor(private readonly options: SidecarServerOptions) {
     this.serviceMs = options.serviceMs;
     this.startedAtMs = options.startedAtMs ?? Date.now();
-    this.server = createServer((req, res) => this.receive(req, res));
+    this.server = createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) =>
+      this.receive(req, res),
+    );
   }
 
   async listen(): Promise<void> {
