Idle connections without a request are closed without an answer; slow heads get 408

A client that opened a connection ahead of its request found '400 Bad Request' on it after 10 s, and took it for the answer to the request it sent then. 400 is not retried. A head that took too long was answered 400 too, though 408 is true: it has not run.

Cause: node:http counts the time for the first head from the opening of the connection, and the listener answered every unknown error of a client with 400. It doesn't count such connections as idle, so that a planned stop left them open.

Change: the idle timeout applies to them, they are closed with the other idle ones, and only a head that has begun is answered, with 408.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -54,6 +54,7 @@
 
 const CLIENT_ERROR_KINDS: ReadonlyMap<string, ErrorKind> = new Map([
   ['HPE_HEADER_OVERFLOW', 'headersTooLarge'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', 'slowSender'],
 ]);
 
 interface Connection {
@@ -88,6 +89,9 @@
     this.server.maxConnections =
       options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+      // The idle timeout applies to a connection without a request.
+      if (isTimeout && (socket as Socket).bytesRead === 0) return;
       rejectConnection(
         socket,
         CLIENT_ERROR_KINDS.get(err.code ?? '') ?? 'malformedRequest',
@@ -112,7 +116,10 @@
   stopAccepting(): void {
     // The HTTP server's own close also destroys connections whose request has not been read yet.
     NetServer.prototype.close.call(this.server);
-    runAfter(IDLE_CLOSE_DELAY_MS, () => this.closeIdleConnections());
+    runAfter(IDLE_CLOSE_DELAY_MS, () =>
+      // Sockets are read before.
+      setImmediate(() => this.closeIdleConnections()),
+    );
   }
 
   /** Runs a step of handling a request. If it throws or rejects, the error is reported and only this request ends. */
@@ -141,6 +148,10 @@
 
   private closeIdleConnections(): void {
     this.server.closeIdleConnections();
+    // Node.js doesn't count connections without a request as idle.
+    for (const socket of [...this.connections.keys()]) {
+      if (socket.bytesRead === 0) socket.destroy();
+    }
   }
 
   private withDefaults(limits: Partial<ListenerLimits>): ListenerLimits {
@@ -173,6 +184,8 @@
     const {maxHeaderBytes} = this.limits;
     if (connection !== undefined && connection.parserBytes < maxHeaderBytes)
       res.shouldKeepAlive = false;
+    // The idle timeout of a new connection ends with its first request.
+    req.socket.setTimeout(0);
     if (headBytes(req) > maxHeaderBytes) answerKind(res, 'headersTooLarge');
     else this.guard(res, () => this.options.handle(req, res));
   }
@@ -180,9 +193,10 @@
   // Node.js closes only the response that it is writing, not those of requests pipelined behind it.
   private addConnection(socket: Socket): void {
     const openResponses = new Set<ServerResponse>();
-    const {maxHeaderBytes} = this.limits;
+    const {maxHeaderBytes, idleTimeoutMs} = this.limits;
     const parserBytes = maxHeaderBytes * PARSER_HEADROOM;
     this.connections.set(socket, {openResponses, parserBytes});
+    socket.setTimeout(idleTimeoutMs);
     socket.on('close', () => {
       this.connections.delete(socket);
       for (const res of [...openResponses]) {
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -223,6 +223,26 @@
     expect(await renewed.send(requestOf(150_000))).toBe('200');
   });
 
+  // Guards against an answer that the first request of an idle connection gets in place of its own.
+  it('keeps a connection open without a request until it has been idle for too long', async () => {
+    const {port} = await listen({headersTimeoutMs: 300, idleTimeoutMs: 6_000});
+    const early = await RawConnection.open(port);
+    const idle = await RawConnection.open(port);
+    // The listener checks its connections once a second.
+    await sleep(1_500);
+    expect(await early.send(requestOf(10))).toBe('200');
+    await idle.closed;
+    expect(idle.statusLines).toEqual([]);
+  });
+
+  it('answers 408 to a head that does not end in time, also on a connection that was idle', async () => {
+    const {port} = await listen({headersTimeoutMs: 300});
+    const slow = await RawConnection.open(port);
+    await sleep(1_500);
+    expect(await slow.send('GET / HTTP/1.1\r\nhost')).toBe('408');
+    await slow.closed;
+  });
+
   it('takes times beyond those of timers, and fractions', async () => {
     const {listener, port} = await listen();
     const timeouts = [1e12, 0.5, 1e12];
@@ -238,12 +258,13 @@
   it('applies a changed idle timeout to idle connections', async () => {
     const {listener, port} = await listen({idleTimeoutMs: 300});
     const used = await RawConnection.open(port);
+    const unused = await RawConnection.open(port);
     await used.send(requestOf(10));
     listener.setLimits({idleTimeoutMs: 60_000});
     await sleep(2_000);
-    expect(used.isClosed).toBe(false);
+    expect([used.isClosed, unused.isClosed]).toEqual([false, false]);
     listener.setLimits({idleTimeoutMs: 100});
-    await used.closed;
+    await Promise.all([used.closed, unused.closed]);
   });
 
   it('answers 400 to input that is not an HTTP request', async () => {
