The answer to a head over the limit reaches callers that are still sending

A client whose head was over the limit could get a reset connection in place of 431: with 400 KB in 20 parts, ECONNRESET and no answer.

Cause: each part after the answer made the parser fail again, and the second failure destroyed the socket. Input at a closed socket resets the connection, and the answer is dropped with it.

Change: further errors of a rejected connection are ignored, so that its input is read and dropped until the client closes, for 1 s at most.

Evidence: listener_test.ts 'answers 431 to a caller that goes on with its head' failed before and passes.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -48,6 +48,8 @@
 const MAX_TIMEOUT_MS = 2_147_483_647;
 /** Parsers of connections take heads of this multiple of the limit, so that a higher limit applies to open connections. */
 const PARSER_HEADROOM = 2;
+/** Time for which input after a rejected head is read and dropped, milliseconds. */
+const REJECTED_CLOSE_DELAY_MS = 1_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 /** Time in which requests that have arrived are read once no more connections are accepted, milliseconds. */
 const IDLE_CLOSE_DELAY_MS = 100;
@@ -67,6 +69,7 @@
 export class Listener {
   private readonly server: Server;
   private readonly connections = new Map<Socket, Connection>();
+  private readonly rejected = new WeakSet<Duplex>();
   private limits: ListenerLimits;
 
   constructor(private readonly options: ListenerOptions) {
@@ -92,6 +95,9 @@
       const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
       // The idle timeout applies to a connection without a request.
       if (isTimeout && (socket as Socket).bytesRead === 0) return;
+      // More input on a connection that has been answered is an error again.
+      if (this.rejected.has(socket)) return;
+      this.rejected.add(socket);
       rejectConnection(
         socket,
         CLIENT_ERROR_KINDS.get(err.code ?? '') ?? 'malformedRequest',
@@ -262,6 +268,8 @@
       `${HEADERS.errorKind}: ${kind}\r\n${HEADERS.runState}: ${runState}\r\n` +
       `${HEADERS.resendSafe}: ${resendSafe}\r\n\r\n`,
   );
+  // Input that is left unread when a socket closes would reset the connection and the answer with it.
+  runAfter(REJECTED_CLOSE_DELAY_MS, () => socket.destroy());
 }
 
 /** Decodes a percent-encoded part of a path; undefined if it is not valid UTF-8. */
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -267,6 +267,26 @@
     await Promise.all([used.closed, unused.closed]);
   });
 
+  // Guards against an answer that is lost as the rest of the head arrives after it.
+  it('answers 431 to a caller that goes on with its head', async () => {
+    const {port} = await listen();
+    const errors: unknown[] = [];
+    const connection = await RawConnection.open(port);
+    connection.socket.on('error', err => errors.push(err));
+    connection.socket.pause();
+    connection.socket.write('GET / HTTP/1.1\r\nhost: a\r\n');
+    for (let i = 0; i < 20; i++) {
+      connection.socket.write(`x-fill-${i}: ${'x'.repeat(20_000)}\r\n`);
+      await sleep(10);
+    }
+    connection.socket.resume();
+    await connection.closed;
+    expect({statuses: connection.statusLines, errors}).toEqual({
+      statuses: ['431'],
+      errors: [],
+    });
+  });
+
   it('answers 400 to input that is not an HTTP request', async () => {
     const answer = await sendRaw('nonsense\r\n\r\n');
     expect(answer).toMatch(/^HTTP\/1\.1 400 /);
