A starting node learns which requests have crashed servers

Cause: strikes reached a restarted node only among the newest 8 updates that are sent again for 30 s; the strikes and clearances of the other requests at work at a crash push them out, and strikes count for 60 s.

Change: the table that a node reads from others at its start contains the strikes that count, the newest 500, under 64 KB.

Ruled out: more updates in what is sent again, which costs all nodes all the time and only moves the limit.

--- a/packages/node/src/peers/member_table_fetcher.ts
+++ b/packages/node/src/peers/member_table_fetcher.ts
@@ -1,8 +1,8 @@
 /** Reads the complete member tables of other nodes after the start. */
 import {runGuarded} from '@goldcresthill/errors';
 import type {FaultListener} from '@goldcresthill/errors';
-import {decodeRecords} from '@goldcresthill/peers';
-import type {MemberRecord} from '@goldcresthill/membership';
+import {decodeTable} from '@goldcresthill/peers';
+import type {NodeTable} from '@goldcresthill/peers';
 import type {Logger} from '@goldcresthill/logger';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {NodeAddress} from '@goldcresthill/types';
@@ -17,7 +17,7 @@
   readonly reachable: () => readonly NodeAddress[];
   /** Reads the encoded table of a node; resolves to undefined on failure. */
   readonly fetchTable: (from: NodeAddress) => Promise<string | undefined>;
-  readonly onRecords: (records: readonly MemberRecord[]) => void;
+  readonly onTable: (table: NodeTable) => void;
   readonly onFault: FaultListener;
 }
 
@@ -73,17 +73,20 @@
   }
 
   private async fetchOneTable(): Promise<void> {
-    const {timers, logger, fetchTable, onRecords} = this.options;
+    const {timers, logger, fetchTable, onTable} = this.options;
     for (let i = 0; i < MAX_TRIES && !this.closed; i++) {
       const from = this.pickNode();
       if (from === undefined) return;
       const text = await fetchTable(from);
       if (this.closed) return;
       if (text !== undefined) {
-        const records = decodeRecords(text);
-        const {nodeId} = from;
-        logger.info('membersRead', {from: nodeId, records: records.length});
-        onRecords(records);
+        const table = decodeTable(text);
+        logger.info('membersRead', {
+          from: from.nodeId,
+          records: table.records.length,
+          updates: table.updates.length,
+        });
+        onTable(table);
         return;
       }
       await timers.sleep(RETRY_DELAY_MS);
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -14,7 +14,8 @@
 } from '@goldcresthill/membership';
 import {StoreBreaker} from '@goldcresthill/object-store';
 import type {ObjectStore} from '@goldcresthill/object-store';
-import {encodeRecords} from '@goldcresthill/peers';
+import {encodeTable} from '@goldcresthill/peers';
+import type {Strike} from '@goldcresthill/quarantine';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
@@ -49,6 +50,8 @@
   readonly store: ObjectStore;
   readonly links: PeerLinks;
   /** Reads the encoded member table of another node; resolves to undefined on failure. */
+  /** Returns the strikes that count now, at most `limit`, the newest ones. */
+  readonly activeStrikes: (limit: number) => readonly Strike[];
   readonly fetchMemberTable: (from: NodeAddress) => Promise<string | undefined>;
   /** Byte budget for gossip, per second. */
   readonly bytesPerSecond: number;
@@ -80,6 +83,8 @@
 const ROUND_MS = 500;
 /** Largest gossip message, bytes; fits into one packet. */
 const MAX_MESSAGE_BYTES = 1_200;
+/** Strikes that a node passes on to one that has just started, the newest ones; about 100 bytes each. */
+const MAX_TABLE_STRIKES = 500;
 /** Interval at which recent quarantine updates are sent again, milliseconds. */
 const RESEND_INTERVAL_MS = 5_000;
 /** Delay before changed members are reported, milliseconds, because many records change at once. */
@@ -197,9 +202,13 @@
     return this.config.text;
   }
 
-  /** Encoded member table of this node, for nodes that have just started. */
+  /** Encoded member table of this node and its strikes, for nodes that have just started. */
   get memberTableText(): string {
-    return encodeRecords(this.member.membership.records());
+    const strikes = this.options.activeStrikes(MAX_TABLE_STRIKES);
+    return encodeTable({
+      records: this.member.membership.records(),
+      updates: strikes.map(strike => ({type: 'strike', ...strike})),
+    });
   }
 
   /** Returns the nodes that are believed to be alive, including this one. */
@@ -247,7 +256,11 @@
       self: address,
       fetchTable: fetchMemberTable,
       reachable: () => this.reachable(),
-      onRecords: records => this.member.post({type: 'seed', records}),
+      onTable: ({records, updates}) => {
+        this.member.post({type: 'seed', records});
+        // The others know them already.
+        updates.forEach(events.onQuarantineUpdate);
+      },
     });
   }
 
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -343,6 +343,11 @@
   private makeControl(): SidecarControl<SidecarConfig> {
     const {settings, random = Math.random} = this.options;
     return new SidecarControl<SidecarConfig>({
+      activeStrikes: limit =>
+        this.gateway.quarantine.activeStrikes(
+          this.options.timers.wall(),
+          limit,
+        ),
       ...this.options,
       address: this.address,
       random,
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -221,20 +221,38 @@
   return typeof value === 'string' && Object.hasOwn(SCHEMAS, value);
 }
 
-/** Encodes a list of records, for a table that is too large for a datagram. */
-export function encodeRecords(records: readonly MemberRecord[]): string {
-  return JSON.stringify(records.map(recordToTuple));
+/** What a node that has just started learns from another one. */
+export interface NodeTable {
+  readonly records: readonly MemberRecord[];
+  readonly updates: readonly QuarantineUpdate[];
 }
 
-/** Decodes a list of records; skips invalid records and returns none for invalid JSON. */
-export function decodeRecords(text: string): MemberRecord[] {
+/** Encodes a table, which is too large for a datagram. Nodes that don't know updates skip them. */
+export function encodeTable({records, updates}: NodeTable): string {
+  return JSON.stringify([
+    ...records.map(recordToTuple),
+    ...updates.map(updateToTuple),
+  ]);
+}
+
+/** Decodes a table; skips invalid entries and returns an empty one for invalid JSON. */
+export function decodeTable(text: string): NodeTable {
   let value: unknown;
   try {
     value = JSON.parse(text);
   } catch {
-    return [];
+    return {records: [], updates: []};
   }
-  return Array.isArray(value) ? value.flatMap(parseRecord) : [];
+  const items: unknown[] = Array.isArray(value) ? value : [];
+  return {
+    records: items.flatMap(parseRecord),
+    updates: items.flatMap(parseUpdate),
+  };
+}
+
+function parseUpdate(item: unknown): QuarantineUpdate[] {
+  const parsed = updateSchema.safeParse(item);
+  return parsed.success ? [parsed.data] : [];
 }
 
 function parseRecord(item: unknown): MemberRecord[] {
--- a/packages/peers/src/datagram_codec_test.ts
+++ b/packages/peers/src/datagram_codec_test.ts
@@ -3,9 +3,9 @@
 import type {Datagram} from './datagram';
 import {
   decodeDatagram,
-  decodeRecords,
+  decodeTable,
   encodeDatagram,
-  encodeRecords,
+  encodeTable,
 } from './datagram_codec';
 
 const count = fc.nat({max: 2 ** 40});
@@ -160,7 +160,14 @@
     const sent = {type: 'exchange' as const, ref: 1, watchedMs: 0, message};
     const read = decodeDatagram(Buffer.from(encodeDatagram(sent)));
     expect(read).toEqual({...sent, message: {...message, records: [good]}});
-    expect(decodeRecords(encodeRecords([odd, good]))).toEqual([good]);
+    const updates = [
+      {type: 'strike' as const, fingerprint: 'f', instance: 'i-1', at: 7},
+    ];
+    expect(decodeTable(encodeTable({records: [odd, good], updates}))).toEqual({
+      records: [good],
+      updates,
+    });
+    expect(decodeTable('[')).toEqual({records: [], updates: []});
   });
 
   it('with a load response take under a hundred bytes', () => {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,9 +1,9 @@
 /** Datagrams between nodes: membership messages and load requests. */
 export {
   decodeDatagram,
-  decodeRecords,
+  decodeTable,
   encodeDatagram,
-  encodeRecords,
+  encodeTable,
 } from './datagram_codec';
 export type {
   Datagram,
@@ -11,3 +11,4 @@
   LoadResponse,
   LoadRequest,
 } from './datagram';
+export type {NodeTable} from './datagram_codec';
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -92,7 +92,7 @@
     if (entry === undefined) return 'clear';
     let count = 0;
     for (const at of entry.strikeTimes.values()) {
-      if (at > entry.clearedAt && now - at < strikeLifetimeMs) count++;
+      if (this.counts(now, at, entry, strikeLifetimeMs)) count++;
     }
     if (count === 0) return 'clear';
     return count >= this.strikesToQuarantine ? 'quarantined' : 'suspect';
@@ -117,6 +117,16 @@
     }
   }
 
+  /** Strikes that count now, at most `limit`, the newest ones, for a node that has just started. */
+  activeStrikes(now: Millis, limit: number): Strike[] {
+    const strikes = [...this.entries].flatMap(([fingerprint, entry]) =>
+      [...entry.strikeTimes]
+        .filter(([, at]) => this.counts(now, at, entry))
+        .map(([instance, at]) => ({fingerprint, instance, at})),
+    );
+    return strikes.sort((a, b) => b.at - a.at).slice(0, limit);
+  }
+
   /** Fingerprints quarantined now, for status pages. */
   quarantinedFingerprints(now: Millis): string[] {
     return [...this.entries.keys()].filter(
@@ -124,6 +134,15 @@
     );
   }
 
+  private counts(
+    now: Millis,
+    at: Millis,
+    {clearedAt}: FingerprintEntry,
+    strikeLifetimeMs = this.strikeLifetimeMs,
+  ): boolean {
+    return at > clearedAt && now - at < strikeLifetimeMs;
+  }
+
   private entryOf(fingerprint: string): FingerprintEntry {
     const known = this.entries.get(fingerprint);
     if (known !== undefined) return known;
--- a/packages/quarantine/src/quarantine_test.ts
+++ b/packages/quarantine/src/quarantine_test.ts
@@ -29,6 +29,37 @@
     expect(quarantine.isEmpty).toBe(true);
   });
 
+  it('gives the same status to a quarantine that starts with its active strikes', () => {
+    const event = fc.record({
+      isStrike: fc.boolean(),
+      fingerprint: fc.constantFrom('f', 'g', 'h'),
+      instance: fc.constantFrom('s1', 's2', 's3'),
+      at: fc.integer({min: 0, max: 200}),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(event),
+        fc.integer({min: 200, max: 400}),
+        (events, now) => {
+          const origin = new Quarantine({strikeLifetimeMs: 150});
+          for (const {isStrike, ...update} of events) {
+            if (isStrike) origin.recordStrike(update);
+            else origin.recordClearance(update);
+          }
+          const joined = new Quarantine({strikeLifetimeMs: 150});
+          origin
+            .activeStrikes(now, events.length)
+            .forEach(strike => joined.recordStrike(strike));
+          for (const fingerprint of ['f', 'g', 'h']) {
+            expect(joined.statusOf(now, fingerprint)).toBe(
+              origin.statusOf(now, fingerprint),
+            );
+          }
+        },
+      ),
+    );
+  });
+
   it('reaches the same status for any order of strikes', () => {
     const strike = fc.record({
       instance: fc.constantFrom('a', 'b', 'c'),
--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -12,6 +12,7 @@
   VirtualClock,
   VirtualTimers,
 } from '@goldcresthill/test-utils';
+import {Quarantine} from '@goldcresthill/quarantine';
 import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
 import {ok} from 'neverthrow';
 
@@ -32,6 +33,7 @@
   readonly timers: VirtualTimers;
   readonly control: SidecarControl<number>;
   readonly store: StaleStore;
+  readonly quarantine: Quarantine;
   /** Server instances of which the node learned that they are leaving. */
   readonly leavingInstances: string[];
   alive: boolean;
@@ -240,6 +242,7 @@
       isUp: () => !this.nodesWithoutStore.has(address.nodeId),
     });
     const leavingInstances: string[] = [];
+    const quarantine = new Quarantine();
     const control: SidecarControl<number> = new SidecarControl<number>({
       address,
       timers,
@@ -247,6 +250,7 @@
       logger: this.logger,
       store,
       links: new SimulatedPeerLinks(this, timers, address, () => control),
+      activeStrikes: limit => quarantine.activeStrikes(this.clock.now, limit),
       fetchMemberTable: from =>
         this.requestReply(
           timers,
@@ -264,7 +268,10 @@
       events: {
         onMembers: () => undefined,
         onConfig: () => undefined,
-        onQuarantineUpdate: () => undefined,
+        onQuarantineUpdate: update => {
+          if (update.type === 'strike') quarantine.recordStrike(update);
+          else quarantine.recordClearance(update);
+        },
         onLeavingInstances: instances => leavingInstances.push(...instances),
         onFault: err => this.errors.push(err),
       },
@@ -275,6 +282,7 @@
       timers,
       control,
       store,
+      quarantine,
       leavingInstances,
       alive: true,
     };
