A deregistration holds across restarts for every start up to its time

A DELETE that a restarted node got before any report of the server was acknowledged and kept in memory only: after a second restart a late report opened the server again.

Cause: what was written to the store was the newest start known, or nothing. The time of the deregistration, which covers the starts before it, was not kept.

A deregistration is kept as the id and its time, and a node that starts applies it to all starts up to that time, waiting for the kept ones as long as before.

Ruled out: announcing the time of the deregistration as a start of the server, which would let a late DELETE of an earlier id close the server that runs.

--- a/packages/node/src/gate/messages.ts
+++ b/packages/node/src/gate/messages.ts
@@ -72,6 +72,8 @@
   readonly slots: number;
   readonly instance: string;
   readonly state: ServerState;
+  /** Instance under which others remember that the server has left, if it covers more than `instance`. */
+  readonly leftAs?: string;
   /** Orders announcements that may arrive out of order; undefined if they cannot. */
   readonly version?: AnnouncementVersion;
 }
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -40,6 +40,8 @@
   readonly configPath: string;
   readonly decodeConfig: (text: string) => Result<SidecarConfig, string>;
   readonly onConfig: (config: SidecarConfig) => void;
+  /** Called with server instances that left before this process started. */
+  readonly onLeftRestored: (instances: readonly string[]) => void;
   /** Time after which a server that has not announced itself again counts as down, milliseconds. */
   readonly announceTtlMs: number;
   /** Service that the server of this VM provides. */
@@ -133,24 +135,45 @@
    * this process, unless the store fails or is too slow.
    */
   async announce(announcement: Announcement): Promise<void> {
-    const {timers} = this.options;
     this.lastAnnouncement = announcement;
     this.resolveServerAnnounced();
     if (announcement.state === 'draining') {
       this.gate.post({type: 'announce', announcement});
-      this.publishLeaving();
-      await Promise.race([
-        this.control.persistLeaving(announcement.instance),
-        timers.sleep(PERSIST_TIMEOUT_MS),
-      ]);
+      const {instance, leftAs} = announcement;
+      if (leftAs === undefined) await this.persistLeft(instance);
+      else await this.recordLeft(leftAs);
       return;
     }
     // A delayed announcement of a server that deregistered at an earlier process must not open the gate.
+    await this.whenLeftKnown();
+    this.gate.post({type: 'announce', announcement});
+  }
+
+  /** Resolves when the servers that left before this process started are known, or after a short wait. */
+  async whenLeftKnown(): Promise<void> {
+    const {timers} = this.options;
     await Promise.race([
       this.leavingKnown,
       timers.sleep(LEAVING_KNOWN_TIMEOUT_MS),
     ]);
-    this.gate.post({type: 'announce', announcement});
+  }
+
+  /**
+   * Records that a server has left whose announcements this process has not
+   * received. Resolves when that may be acknowledged, as for `announce`.
+   */
+  async recordLeft(instance: string): Promise<void> {
+    this.gate.post({type: 'left', instances: [instance]});
+    await this.persistLeft(instance);
+  }
+
+  private async persistLeft(instance: string): Promise<void> {
+    const {timers} = this.options;
+    this.publishLeaving();
+    await Promise.race([
+      this.control.persistLeaving(instance),
+      timers.sleep(PERSIST_TIMEOUT_MS),
+    ]);
   }
 
   get configVersion(): number {
@@ -391,6 +414,7 @@
 
   private restoreLeaving(instances: readonly string[]): void {
     this.gate.post({type: 'left', instances});
+    this.options.onLeftRestored(instances);
     this.publishLeaving();
     this.resolveLeavingKnown();
   }
