Test of arrived requests: on a connection that has been used before

The case failed first for its idle connection, which was never closed, and not for a request that was cut.

It sends on a used connection and on an unused one now.

--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -139,13 +139,17 @@
   // Guards against a close that cuts requests which have arrived but have not been read.
   it('handles a request that has arrived when it stops accepting, and closes idle connections then', async () => {
     const {listener, port} = await listen();
-    const active = await RawConnection.open(port);
+    const kept = await RawConnection.open(port);
+    const unused = await RawConnection.open(port);
     const idle = await RawConnection.open(port);
-    // The listener has accepted both connections.
-    await new Promise(done => setTimeout(done, 50));
-    const answered = active.send('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+    await kept.send(requestOf(10));
+    // The listener has accepted all connections.
+    await sleep(50);
+    const answered = [kept, unused].map(connection =>
+      connection.send(requestOf(10)),
+    );
     listener.stopAccepting();
-    expect(await answered).toBe('200');
+    expect(await Promise.all(answered)).toEqual(['200', '200']);
     await idle.closed;
   });
 
