--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -93,6 +93,7 @@
     this.resolveServerAnnounced = resolve;
   });
   private lastAnnouncement: Announcement | undefined;
+  private leavingKnownOrLate: Promise<void> | undefined;
   private resolveLeavingKnown: () => void = () => undefined;
   /** Resolves once the servers that left before this process started are known. */
   private readonly leavingKnown = new Promise<void>(resolve => {
@@ -149,13 +150,13 @@
     this.gate.post({type: 'announce', announcement});
   }
 
-  /** Resolves when the servers that left before this process started are known, or after a short wait. */
-  async whenLeftKnown(): Promise<void> {
-    const {timers} = this.options;
-    await Promise.race([
+  /** Resolves when the servers that left before this process started are known, or a short time after the first call. */
+  whenLeftKnown(): Promise<void> {
+    this.leavingKnownOrLate ??= Promise.race([
       this.leavingKnown,
-      timers.sleep(LEAVING_KNOWN_TIMEOUT_MS),
+      this.options.timers.sleep(LEAVING_KNOWN_TIMEOUT_MS),
     ]);
+    return this.leavingKnownOrLate;
   }
 
   /**
