Refused callers of a leaving node come back at the usual time while it accepts calls

Change: only what needs the restart is told to wait for it: calls that don't end before the node closes, and those that come too late.

Evidence: platform_node_test.ts 'sends refused callers of a leaving node back at the usual time while it accepts calls' fails before.

--- a/packages/node/src/gateway/call_answerer.ts
+++ b/packages/node/src/gateway/call_answerer.ts
@@ -23,8 +23,8 @@
   readonly callers: CallerInterface;
   /** Whether to close connections after their answers. */
   readonly isClosing: () => boolean;
-  /** Returns the time after which the next process of this node may serve callers, milliseconds; undefined unless this one is leaving. */
-  readonly restartMs: () => number | undefined;
+  /** Returns the time after which a refused caller may be served, milliseconds; undefined if it is the usual one. */
+  readonly retryAfterMs: (needsRestart: boolean) => number | undefined;
   /**
    * Delay before a caller is told that its call's server died, milliseconds.
    * It lets the quarantine update reach all nodes before a resend.
@@ -96,12 +96,15 @@
   }
 
   private writeError(context: CallContext, kind: ErrorKind): void {
-    const {callers} = this.options;
+    const {callers, retryAfterMs} = this.options;
+    // Such a call does not end before this node closes.
+    const needsRestart =
+      context.call.attributes.mustEnd === true && kind === 'deadlineTooShort';
     callers.writeError(
       context.res,
       {
         ...this.answerContext(context),
-        retryAfterMs: this.options.restartMs(),
+        retryAfterMs: retryAfterMs(needsRestart),
       },
       kind,
     );
--- a/packages/node/src/gateway/gateway_task.ts
+++ b/packages/node/src/gateway/gateway_task.ts
@@ -82,6 +82,8 @@
 const EVICT_INTERVAL_MS = 1_000;
 /** Usual time in which a node that accepts no more calls ends and is started again, milliseconds. */
 const RESTART_MS = 500;
+/** Longest usual time after which a refused caller comes back, milliseconds. */
+const USUAL_RETRY_MS = 200;
 
 /** Gateway of one node: listens for callers and owns the routers and the connections to gates. */
 export class GatewayTask extends Task<GatewayMessage> {
@@ -136,7 +138,7 @@
       callers: options.callers,
       crashErrorDelayMs: options.crashErrorDelayMs,
       isClosing: () => this.closing !== undefined,
-      restartMs: () => this.restartMs,
+      retryAfterMs: needsRestart => this.retryAfterMs(needsRestart),
       onFault: options.onFault,
     });
     this.listener = new Listener({
@@ -288,7 +290,7 @@
     const answer: AnswerContext = {
       callId,
       closeConnection: this.closing !== undefined,
-      retryAfterMs: this.restartMs,
+      retryAfterMs: this.retryAfterMs(!this.accepting),
     };
     this.openCallCount++;
     res.on('close', () => this.openCallCount--);
@@ -311,11 +313,15 @@
     return Math.max(0, this.closing.closesAt - this.timers.now());
   }
 
-  /** Time after which the next process of this node may serve callers, milliseconds. */
-  private get restartMs(): Millis | undefined {
+  /**
+   * Time until the next process of this node may serve a refused caller,
+   * milliseconds; undefined if the caller may come back to this one.
+   */
+  private retryAfterMs(needsRestart: boolean): Millis | undefined {
     if (this.closing === undefined) return undefined;
-    const {acceptsUntil} = this.closing;
-    return Math.max(0, acceptsUntil - this.timers.now()) + RESTART_MS;
+    const acceptsForMs = this.closing.acceptsUntil - this.timers.now();
+    if (!needsRestart && acceptsForMs > USUAL_RETRY_MS) return undefined;
+    return Math.max(0, acceptsForMs) + RESTART_MS;
   }
 
   private refuseRequest(
