A report reaches the node at once; only the gate waits for the servers that left

Since reports waited in LivenessListener until the servers that left before were known, so that a restarted node knew of its server up to 0.7 s later and published its presence without it.

Change: the wait is where it was before, ahead of the gate. It suffices there, as restoreLeft announces the end of a start that has reported meanwhile, and the gate then refuses the report that waited.

The tests of late reports pass.

--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -93,7 +93,6 @@
     this.resolveServerAnnounced = resolve;
   });
   private lastAnnouncement: Announcement | undefined;
-  private leavingKnownOrLate: Promise<void> | undefined;
   private resolveLeavingKnown: () => void = () => undefined;
   /** Resolves once the servers that left before this process started are known. */
   private readonly leavingKnown = new Promise<void>(resolve => {
@@ -136,6 +135,7 @@
    * this process, unless the store fails or is too slow.
    */
   async announce(announcement: Announcement): Promise<void> {
+    const {timers} = this.options;
     this.lastAnnouncement = announcement;
     this.resolveServerAnnounced();
     if (announcement.state === 'draining') {
@@ -146,17 +146,11 @@
       return;
     }
     // A delayed announcement of a server that deregistered at an earlier process must not open the gate.
-    await this.whenLeftKnown();
-    this.gate.post({type: 'announce', announcement});
-  }
-
-  /** Resolves when the servers that left before this process started are known, or a short time after the first call. */
-  whenLeftKnown(): Promise<void> {
-    this.leavingKnownOrLate ??= Promise.race([
+    await Promise.race([
       this.leavingKnown,
-      this.options.timers.sleep(LEAVING_KNOWN_TIMEOUT_MS),
+      timers.sleep(LEAVING_KNOWN_TIMEOUT_MS),
     ]);
-    return this.leavingKnownOrLate;
+    this.gate.post({type: 'announce', announcement});
   }
 
   /**
