A leaving node keeps connections open whose first request may be on its way

Change: only connections that node:http counts as idle are closed then, as before; the others end with the node.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -122,10 +122,8 @@
   stopAccepting(): void {
     // The HTTP server's own close also destroys connections whose request has not been read yet.
     NetServer.prototype.close.call(this.server);
-    runAfter(IDLE_CLOSE_DELAY_MS, () =>
-      // Sockets are read before.
-      setImmediate(() => this.closeIdleConnections()),
-    );
+    // A connection without a request stays open, as its first one may be on its way.
+    runAfter(IDLE_CLOSE_DELAY_MS, () => this.server.closeIdleConnections());
   }
 
   /** Runs a step of handling a request. If it throws or rejects, the error is reported and only this request ends. */
