A raised limit of heads leaves connections open whose first request may be on its way

A limit that more than doubles closed connections without a request too, so that a first request on its way was cut.

Change: such a connection is closed with its first answer, as busy ones are.

Evidence: listener_test.ts 'closes a connection that cannot take the largest head after its next answer' sends such a request; it fails before.

--- a/packages/node/src/http/listener.ts
+++ b/packages/node/src/http/listener.ts
@@ -147,15 +147,7 @@
       mustRenew = true;
       for (const res of openResponses) res.shouldKeepAlive = false;
     }
-    if (mustRenew) this.closeIdleConnections();
-  }
-
-  private closeIdleConnections(): void {
-    this.server.closeIdleConnections();
-    // Node.js doesn't count connections without a request as idle.
-    for (const socket of [...this.connections.keys()]) {
-      if (socket.bytesRead === 0) socket.destroy();
-    }
+    if (mustRenew) this.server.closeIdleConnections();
   }
 
   private withDefaults(limits: Partial<ListenerLimits>): ListenerLimits {
@@ -194,7 +186,6 @@
     else this.guard(res, () => this.options.handle(req, res));
   }
 
-  // Node.js closes only the response that it is writing, not those of requests pipelined behind it.
   private addConnection(socket: Socket): void {
     const openResponses = new Set<ServerResponse>();
     const {maxHeaderBytes, idleTimeoutMs} = this.limits;
@@ -203,6 +194,7 @@
     socket.setTimeout(idleTimeoutMs);
     socket.on('close', () => {
       this.connections.delete(socket);
+      // Node.js closes only the response that it is writing, not those of requests pipelined behind it.
       for (const res of [...openResponses]) {
         if (res.socket !== null) continue;
         res.destroy();
--- a/packages/node/src/http/listener_test.ts
+++ b/packages/node/src/http/listener_test.ts
@@ -195,11 +195,15 @@
       await RawConnection.open(port),
     ];
     await idle.send(requestOf(10));
+    const unused = await RawConnection.open(port);
     const answer = busy.send(requestOf(10));
     await sleep(50);
     listener.setLimits({maxHeaderBytes: 200_000});
     await Promise.all([idle.closed, busy.closed]);
     expect([await answer, busy.statusLines]).toEqual(['200', ['200']]);
+    // Its first request may have been on its way.
+    expect(await unused.send(requestOf(10))).toBe('200');
+    await unused.closed;
     const renewed = await RawConnection.open(port);
     expect(await renewed.send(requestOf(150_000))).toBe('200');
   });
