Logs tell how a configuration arrived and why a node watches the store

A stale read and a fresh one were both 'read', a peer was not named, and nothing said how old an answer was or why a node watched. No change of behaviour.

--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -9,6 +9,24 @@
 import type {Millis} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 
+/** How a configuration arrived at this node. */
+export type ConfigSource =
+  /** A read of the newest state of the store. */
+  | 'read'
+  /** A read that may return data that is seconds old. */
+  | 'staleRead'
+  | 'watch'
+  | 'peer';
+
+/** Where a configuration came from, for logs. */
+export interface ConfigOrigin {
+  readonly source: ConfigSource;
+  /** The peer that sent it, for `peer`. */
+  readonly from?: string;
+  /** Time since the call that returned it was made, milliseconds. */
+  readonly askedMs: Millis;
+}
+
 /** Position of a node among the watchers. */
 export interface WatcherPosition {
   readonly count: number;
@@ -37,7 +55,7 @@
   readonly renewalMs: Millis;
   /** Returns the version of a configuration, which is higher in each later one. */
   readonly versionOf: (config: T) => number;
-  readonly onConfig: (config: T, source: string) => void;
+  readonly onConfig: (config: T, origin: ConfigOrigin) => void;
   /** Called after each call to the store. */
   readonly onStoreCall: (isAnswered: boolean) => void;
   /** The store became reachable or unreachable. */
@@ -98,8 +116,8 @@
     return this.held?.text;
   }
 
-  /** Puts an encoded configuration into force if it is valid and newer. `source` is where it came from, for logs. */
-  offer(text: string, source: string): void {
+  /** Puts an encoded configuration into force if it is valid and newer. */
+  offer(text: string, origin: ConfigOrigin): void {
     const decoded = this.options.decode(text);
     if (decoded.isErr()) {
       this.options.onInvalid(decoded.error);
@@ -108,7 +126,7 @@
     const config = decoded.value;
     if (this.options.versionOf(config) <= this.version) return;
     this.held = {config, text};
-    this.options.onConfig(config, source);
+    this.options.onConfig(config, origin);
   }
 
   close(): void {
@@ -130,6 +148,7 @@
     if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
     const usesWatch = isWatcher && (this.objectVersion > 0 || this.isAbsent);
     const watchMs = this.watchMs();
+    const askedAt = timers.now();
     const read = usesWatch
       ? await store.watch(path, this.objectVersion, watchMs)
       : await store.get(path, {stale: !isWatcher});
@@ -145,7 +164,11 @@
     }
     breaker.succeed();
     this.setStoreReachable(true);
-    return this.applyObject(read.value, usesWatch ? 'watch' : 'read');
+    const readSource = isWatcher ? 'read' : 'staleRead';
+    return this.applyObject(read.value, {
+      source: usesWatch ? 'watch' : readSource,
+      askedMs: timers.now() - askedAt,
+    });
   }
 
   // An object that cannot be handled must not end the watch for later ones.
@@ -166,12 +189,12 @@
 
   private applyObject(
     object: StoredObject | undefined,
-    source: string,
+    origin: ConfigOrigin,
   ): number {
     if (object === undefined) return this.handleAbsence();
     this.isAbsent = false;
     this.objectVersion = object.version;
-    this.offer(object.value, source);
+    this.offer(object.value, origin);
     return 0;
   }
 
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -44,7 +44,12 @@
   readonly onLeavingInstances?: (instances: readonly string[]) => void;
   /** Returns the revision of the configuration in force at this node. */
   readonly heldRevision: () => number;
-  readonly onConfigDelta: (delta: ConfigDelta) => void;
+  readonly onConfigDelta: (
+    delta: ConfigDelta,
+    from: NodeAddress,
+    /** Time since the configuration was asked for, milliseconds. */
+    askedMs: Millis,
+  ) => void;
   /** Another node knows a newer era of the store. */
   readonly onStoreRestored: (era: number) => void;
   readonly onStatus: (nodeId: string, status: string, reason: string) => void;
@@ -240,11 +245,11 @@
   private async fetchConfig(from: NodeAddress): Promise<void> {
     if (this.isFetchingConfig) return;
     this.isFetchingConfig = true;
-    const delta = await this.options.links.fetchConfig(
-      from,
-      this.options.events.heldRevision(),
-    );
+    const {links, events} = this.options;
+    const askedAt = this.now();
+    const delta = await links.fetchConfig(from, events.heldRevision());
     this.isFetchingConfig = false;
-    if (delta !== undefined) this.options.events.onConfigDelta(delta);
+    if (delta !== undefined)
+      events.onConfigDelta(delta, from, this.now() - askedAt);
   }
 }
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -20,7 +20,7 @@
 import type {Millis, NodeAddress, ServerRecord} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 import {ConfigFollower} from '../config/config_follower';
-import type {WatcherPosition} from '../config/config_follower';
+import type {ConfigOrigin, WatcherPosition} from '../config/config_follower';
 import {MemberTask} from '../member/member_task';
 import type {PeerLinks} from '../member/peer_links';
 import {Presence} from '../member/presence';
@@ -33,7 +33,7 @@
     records: readonly MemberRecord[],
     cutDomains: readonly string[],
   ) => void;
-  readonly onConfig: (config: Config, source: string) => void;
+  readonly onConfig: (config: Config, origin: ConfigOrigin) => void;
   /** A quarantine update that was not known at this node. */
   readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
   /** Server processes of this VM that announced to an earlier process of this node that they are leaving; may be empty. */
@@ -107,6 +107,7 @@
   private readonly config: ConfigFollower<Config>;
   private membersPending = false;
   private watcherPosition: WatcherPosition = {count: 1, rank: undefined};
+  private wasWatcher = false;
   private closed = false;
   private cancelResends: Cancel = () => undefined;
   private unsubscribeRestored: () => void = () => undefined;
@@ -239,7 +240,8 @@
         onQuarantineUpdate: update => this.spread(update),
         onLeavingInstances: events.onLeavingInstances,
         heldRevision: () => this.config.version,
-        onConfigDelta: ({delta}) => this.config.offer(delta, 'peer'),
+        onConfigDelta: ({delta}, {nodeId}, askedMs) =>
+          this.config.offer(delta, {source: 'peer', from: nodeId, askedMs}),
         onStoreRestored: era => this.rewritePresence(era),
         onStatus: (nodeId, status, reason) =>
           this.onStatus(nodeId, status, reason),
@@ -290,12 +292,12 @@
       breaker: this.newBreaker(),
       path: configPath,
       decode: decodeConfig,
-      isWatcher: () => this.watchDuty.isDue(options.timers.now()),
+      isWatcher: () => this.isWatcher(),
       watchers: () => this.watcherPosition,
       renewalMs: options.configApplyMs * WATCH_RENEWAL_FRACTION,
-      onConfig: (config, source) => {
+      onConfig: (config, origin) => {
         const revision = options.versionOf(config);
-        events.onConfig(config, source);
+        events.onConfig(config, origin);
         this.member.post({type: 'setConfigRevision', revision});
       },
       onStoreCall: isAnswered =>
@@ -304,6 +306,7 @@
         logger.warn(reachable ? 'storeRegained' : 'storeLost', {
           configVersion: this.config.version,
           storeEra: options.store.era,
+          watcherAgeMs: this.watcherAgeMs,
         }),
       onInvalid: reason =>
         logger.warn('configInvalid', {
@@ -313,6 +316,19 @@
     });
   }
 
+  private isWatcher(): boolean {
+    const now = this.options.timers.now();
+    const isWatcher = this.watchDuty.isDue(now);
+    if (isWatcher === this.wasWatcher) return isWatcher;
+    this.options.logger.info('configWatcher', {
+      isWatcher,
+      isChosen: this.watcherPosition.rank !== undefined,
+      watcherAgeMs: this.watchDuty.age(now),
+    });
+    this.wasWatcher = isWatcher;
+    return isWatcher;
+  }
+
   private newBreaker(): StoreBreaker {
     const {random} = this.options;
     return new StoreBreaker({random, maxWaitMs: MAX_STORE_BACKOFF_MS});
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -23,6 +23,7 @@
 import {DispatchQueue} from '../http/dispatch_queue';
 import {BodyBudget} from '../http/request_body';
 import {DatagramLinks} from '../peers/datagram_links';
+import type {ConfigOrigin} from '../config/config_follower';
 import type {SidecarConfig} from './sidecar_config';
 import {SidecarControl} from './sidecar_control';
 
@@ -378,7 +379,7 @@
       events: {
         onMembers: (records, cutDomains) =>
           this.gateway.post({type: 'members', records, cutDomains}),
-        onConfig: (config, source) => this.onConfig(config, source),
+        onConfig: (config, origin) => this.onConfig(config, origin),
         onQuarantineUpdate: news => this.gateway.post({type: 'news', news}),
         onLeavingInstances: instances => this.restoreLeaving(instances),
         onFault: err => this.onFault(err),
@@ -386,7 +387,7 @@
     });
   }
 
-  private onConfig(config: SidecarConfig, source: string): void {
+  private onConfig(config: SidecarConfig, origin: ConfigOrigin): void {
     const {version, routes, callerLimits} = config;
     const {off} = this.options.settings.ablation;
     const rules = new Map(
@@ -397,7 +398,7 @@
     );
     this.options.logger.info('configuration', {
       version,
-      source,
+      ...origin,
       routes: routes.length,
     });
     this.options.onConfig(config);
