--- a/packages/node/src/gateway/recent_claims_test.ts
+++ b/packages/node/src/gateway/recent_claims_test.ts
@@ -26,7 +26,7 @@
     platform,
     lagMs: 0,
     pageSize: 10,
-    isUp: () => isUp,
+    availability: () => (isUp ? 'up' : 'refusing'),
   });
   taken = [];
   claims = new RecentClaims({
--- a/packages/node/src/member/presence_test.ts
+++ b/packages/node/src/member/presence_test.ts
@@ -47,7 +47,7 @@
     platform,
     lagMs: LAG_MS,
     pageSize: PAGE_SIZE,
-    isUp,
+    availability: () => (isUp() ? 'up' : 'refusing'),
   });
   const ports = {dataPort: 1, controlPort: 2};
   const presence = new Presence({
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -4,7 +4,7 @@
 export {EndlessServer} from './endless_server';
 export type {EndlessPart} from './endless_server';
 export {StaleStore} from './stale_store';
-export type {StaleStoreOptions} from './stale_store';
+export type {StaleStoreOptions, StoreAvailability} from './stale_store';
 export {PlatformServer} from './platform_server';
 export type {PlatformMode} from './platform_server';
 export {FakeServer} from './fake_server';
--- a/packages/test-utils/src/stale_store.ts
+++ b/packages/test-utils/src/stale_store.ts
@@ -16,27 +16,40 @@
 export interface StaleStoreOptions {
   readonly clock: VirtualClock;
   readonly platform: MemoryPlatform;
-  /** Time until reads that may be stale see a write, milliseconds; until then the object reads as missing. */
+  /** Time until reads that may be stale see a write, milliseconds; until then they see the object as it was before. */
   readonly lagMs: number;
   /** Objects on one page of a list. */
   readonly pageSize: number;
-  /** Whether the store is available to this process; always by default. */
-  readonly isUp?: () => boolean;
+  /** How the store treats this process; as `up` by default. */
+  readonly availability?: () => StoreAvailability;
+  /** Runs a function of this process after a delay, milliseconds; on the clock by default. */
+  readonly after?: (delayMs: number, run: () => void) => void;
 }
 
+/** How a store treats the calls of a process: it answers, refuses, or never answers. */
+export type StoreAvailability = 'up' | 'refusing' | 'silent';
+
 /** Duration of each call in virtual time. */
 const CALL_DELAY_MS = 4;
+/** Time after which a call without an answer fails, milliseconds. */
+const CALL_TIMEOUT_MS = 1_000;
 /** Time after its end at which a watch that has gone silent fails, milliseconds. */
 const WATCH_GRACE_MS = 1_000;
 /** Cost of a read that may be stale, in units of other calls. */
 const STALE_READ_COST = 0.1;
 
+interface PendingWatch {
+  /** Ends the reports; the watch fails after its time. */
+  readonly silence: () => void;
+  /** Fails the watch. */
+  readonly cut: () => void;
+}
+
 /** The store client of one process; processes share the platform and its write times. */
 export class StaleStore extends ObjectStore {
   /** Calls made so far, weighted by their cost. */
   callCost = 0;
-  /** Ends the reports of a pending watch. */
-  private readonly pendingWatches = new Set<() => void>();
+  private readonly pendingWatches = new Set<PendingWatch>();
   private static readonly writtenAt = new WeakMap<
     MemoryPlatform,
     Map<number, number>
@@ -58,7 +71,12 @@
 
   /** Makes the connections of pending watches go silent: the watches report no change, and fail after their time. */
   silenceWatches(): void {
-    this.pendingWatches.forEach(silence => silence());
+    this.pendingWatches.forEach(({silence}) => silence());
+  }
+
+  /** Fails the pending watches, as when the store drops its history. */
+  cutWatches(): void {
+    this.pendingWatches.forEach(({cut}) => cut());
   }
 
   override get(
@@ -67,8 +85,7 @@
   ): StoreResult<StoredObject | undefined> {
     return this.call(stale, () => {
       const object = this.options.platform.get(path);
-      const visible = object !== undefined && this.isVisible(object, stale);
-      return ok(visible ? object : undefined);
+      return ok(stale ? this.olderState(path) : object);
     });
   }
 
@@ -103,7 +120,7 @@
     return this.call(stale, () => {
       const objects = platform
         .list(prefix)
-        .filter(object => this.isVisible(object, stale))
+        .flatMap(object => (stale ? this.olderStates(object.path) : object))
         .filter(object => object.path > prefix + after)
         .sort((a, b) => (a.path < b.path ? -1 : 1));
       return ok(onePage ? objects.slice(0, page) : objects);
@@ -115,48 +132,57 @@
     known: number,
     waitMs: number,
   ): StoreResult<StoredObject | undefined> {
-    const {platform, clock} = this.options;
-    return this.call(false, () => ok(undefined)).andThen(
+    const timeoutMs = waitMs + WATCH_GRACE_MS;
+    return this.call(false, () => ok(undefined), timeoutMs).andThen(
       () =>
         new ResultAsync<StoredObject | undefined, ErrorKind>(
-          new Promise(done => {
-            const read = (): StoredObject | undefined => {
-              const object = platform.get(path);
-              return object?.version === known ? undefined : object;
-            };
-            let isSilent = false;
-            const silence = (): void => {
-              isSilent = true;
-            };
-            this.pendingWatches.add(silence);
-            const end = (object: StoredObject | undefined): void => {
-              if (isSilent) return;
-              unsubscribe();
-              unsubscribeRestored();
-              this.pendingWatches.delete(silence);
-              this.recordEra(platform.era);
-              done(ok(object));
-            };
-            let unsubscribe = (): void => undefined;
-            const unsubscribeRestored = this.onRestored(() =>
-              end(platform.get(path)),
-            );
-            const found = read();
-            if (found !== undefined) return end(found);
-            unsubscribe = platform.watch(path, object => {
-              unsubscribe();
-              clock.after(CALL_DELAY_MS, () => end(object));
-            });
-            clock.after(waitMs, () => end(undefined));
-            clock.after(waitMs + WATCH_GRACE_MS, () => {
-              if (isSilent) done(err('storeUnavailable'));
-              this.pendingWatches.delete(silence);
-            });
-          }),
+          new Promise(done => this.awaitChange(path, known, waitMs, done)),
         ),
     );
   }
 
+  private awaitChange(
+    path: string,
+    known: number,
+    waitMs: number,
+    done: (result: Result<StoredObject | undefined, ErrorKind>) => void,
+  ): void {
+    const {platform} = this.options;
+    let isSilent = false;
+    let unsubscribe = (): void => undefined;
+    const end = (result: Result<StoredObject | undefined, ErrorKind>): void => {
+      unsubscribe();
+      unsubscribeRestored();
+      this.pendingWatches.delete(pending);
+      if (result.isOk()) this.recordEra(platform.era);
+      done(result);
+    };
+    const report = (object: StoredObject | undefined): void => {
+      if (!isSilent) end(ok(object));
+    };
+    const pending: PendingWatch = {
+      silence: () => {
+        isSilent = true;
+      },
+      cut: () => end(err('storeUnavailable')),
+    };
+    this.pendingWatches.add(pending);
+    const unsubscribeRestored = this.onRestored(() =>
+      report(platform.get(path)),
+    );
+    const current = platform.get(path);
+    if (current !== undefined && current.version !== known)
+      return report(current);
+    unsubscribe = platform.watch(path, object => {
+      unsubscribe();
+      this.after(CALL_DELAY_MS, () => report(object));
+    });
+    this.after(waitMs, () => report(undefined));
+    this.after(waitMs + WATCH_GRACE_MS, () => {
+      if (isSilent) end(err('storeUnavailable'));
+    });
+  }
+
   override close(): Promise<void> {
     return Promise.resolve();
   }
@@ -164,23 +190,47 @@
   private call<T>(
     stale: boolean,
     answer: () => Result<T, ErrorKind>,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): StoreResult<T> {
-    const {clock, isUp = () => true} = this.options;
+    const {availability = () => 'up'} = this.options;
     this.callCost += stale ? STALE_READ_COST : 1;
+    const fail = (done: (result: Result<T, ErrorKind>) => void): void =>
+      done(err('storeUnavailable'));
     return new ResultAsync(
-      new Promise(done =>
-        clock.after(CALL_DELAY_MS, () => {
-          if (!isUp()) return done(err('storeUnavailable'));
+      new Promise(done => {
+        if (availability() === 'silent')
+          return this.after(timeoutMs, () => fail(done));
+        this.after(CALL_DELAY_MS, () => {
+          if (availability() !== 'up') return fail(done);
           this.recordEra(this.options.platform.era);
           done(answer());
-        }),
-      ),
+        });
+      }),
     );
   }
 
-  private isVisible({version}: StoredObject, stale: boolean): boolean {
+  private after(delayMs: number, run: () => void): void {
+    const {after, clock} = this.options;
+    if (after === undefined) clock.after(delayMs, run);
+    else after(delayMs, run);
+  }
+
+  // The state of an object that reads which lag behind see; undefined if it did not exist yet.
+  private olderState(path: string): StoredObject | undefined {
     const {clock, lagMs, platform} = this.options;
-    const writtenAt = StaleStore.writtenAt.get(platform)?.get(version) ?? 0;
-    return !stale || clock.now - writtenAt >= lagMs;
+    const times = StaleStore.writtenAt.get(platform);
+    return platform
+      .eventsAfter(path, 0)
+      ?.filter(({object: {path: changed, version}}) => {
+        const writtenAt = times?.get(version) ?? 0;
+        return changed === path && clock.now - writtenAt >= lagMs;
+      })
+      .map(({object, removed}) => (removed ? undefined : object))
+      .at(-1);
+  }
+
+  private olderStates(path: string): StoredObject[] {
+    const object = this.olderState(path);
+    return object === undefined ? [] : [object];
   }
 }
--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -13,6 +13,7 @@
   VirtualTimers,
 } from '@goldcresthill/test-utils';
 import {Quarantine} from '@goldcresthill/quarantine';
+import type {StoreAvailability} from '@goldcresthill/test-utils';
 import type {NodeAddress, ServerRecord} from '@goldcresthill/types';
 import {ok} from 'neverthrow';
 
@@ -24,6 +25,8 @@
   /** Share of messages that are lost, from 0 to 1. */
   readonly loss?: number;
   readonly configApplyMs?: number;
+  /** Time by which stale reads lag behind writes, milliseconds. */
+  readonly readLagMs?: number;
 }
 
 /** A process of a node; a restart creates a new one with the same index and node ID. */
@@ -43,8 +46,7 @@
 const DEFAULT_CONFIG_APPLY_MS = 2_500;
 const EXCHANGE_TIMEOUT_MS = 300;
 const BYTES_PER_SECOND = 9_000;
-/** Time by which cheap reads lag behind writes. */
-const READ_LAG_MS = 3_000;
+const DEFAULT_READ_LAG_MS = 3_000;
 const PAGE_SIZE = 50;
 const STORE_WRITES_PER_SECOND = 400;
 /**
@@ -63,8 +65,12 @@
   readonly errors: unknown[] = [];
   /** IDs of nodes that neither receive messages nor get any through to others. */
   readonly isolatedNodes = new Set<string>();
-  /** IDs of nodes that the store does not answer. */
+  /** IDs of nodes that the store turns away at once. */
   readonly nodesWithoutStore = new Set<string>();
+  /** IDs of nodes to which the store is silent; see `silenceStore`. */
+  readonly nodesWithSilentStore = new Set<string>();
+  /** Whether configurations that a node sends to another one are lost. */
+  losesConfigTransfers = false;
   private readonly logger = new Logger({
     node: 'world',
     level: 'error',
@@ -98,6 +104,14 @@
     node.timers.kill();
   }
 
+  /** Makes the store silent to nodes, open watches included, until they are removed from `nodesWithSilentStore`. */
+  silenceStore(nodes: readonly SidecarSimulationNode[]): void {
+    for (const {address, store} of nodes) {
+      this.nodesWithSilentStore.add(address.nodeId);
+      store.silenceWatches();
+    }
+  }
+
   /** Writes the next configuration and returns its version. */
   changeConfig(): number {
     this.configVersion++;
@@ -208,6 +222,11 @@
     if (from.domain !== to.domain) this.traffic.crossDomainBytes += bytes;
   }
 
+  private storeAvailability(nodeId: string): StoreAvailability {
+    if (this.nodesWithSilentStore.has(nodeId)) return 'silent';
+    return this.nodesWithoutStore.has(nodeId) ? 'refusing' : 'up';
+  }
+
   private isLost(from: NodeAddress, to: NodeAddress): boolean {
     if (
       this.isolatedNodes.has(from.nodeId) ||
@@ -237,9 +256,10 @@
     const store = new StaleStore({
       clock: this.clock,
       platform: this.platform,
-      lagMs: READ_LAG_MS,
+      lagMs: this.options.readLagMs ?? DEFAULT_READ_LAG_MS,
       pageSize: PAGE_SIZE,
-      isUp: () => !this.nodesWithoutStore.has(address.nodeId),
+      availability: () => this.storeAvailability(address.nodeId),
+      after: (delayMs, run) => timers.after(delayMs, run),
     });
     const leavingInstances: string[] = [];
     const quarantine = new Quarantine();
@@ -332,6 +352,7 @@
       from,
       node => node.control.configText,
     );
+    if (fleet.losesConfigTransfers) return undefined;
     return delta === undefined ? undefined : {since: 0, delta};
   }
 
