A node reads the store once the newest answer that the fleet knows of is too old

Cause: a watcher counted as live as long as its watch was open, and the other nodes left the store alone as long as any watcher counted as live. The last watcher to notice the silence decided, and nodes that the store would have answered did not ask.

Messages now carry the age of the store's newest answer for the revision that the sender has in force. An open watch confirms nothing. Watchers end one after the other every quarter of config_apply (half before), tell the other watchers, and these their share of their domain. Beyond 0.6 of config_apply the nodes read by themselves, the watchers first and then twice as many others each 75 ms, on connections that a silent watch does not hold. A confirmation of a revision that a node does not have does not count for it, so a node to which no peer can send the configuration reads it too.

Ruled out: confirmations in gossip alone (ages up to 1.5 s with 75 nodes and 2.6 s with 195 before any threshold); all nodes as watchers (calls grow with the fleet); each watcher vouching for its own watch with a shorter one (still the last to notice decides).

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -19,4 +19,4 @@
 export {isMostlySuspect} from './cut_detector';
 export {ownerOf, standbyRankOf, watchersOf} from './rendezvous';
 export {WatchDuty} from './watch_duty';
-export type {WatchDutyOptions} from './watch_duty';
+export type {Confirmation, WatchDutyOptions} from './watch_duty';
--- a/packages/membership/src/watch_duty.ts
+++ b/packages/membership/src/watch_duty.ts
@@ -1,91 +1,128 @@
-/** Decides whether a node watches the configuration in the object store by itself. */
+/** Decides when a node asks the object store for the configuration by itself. */
 import type {Millis} from '@goldcresthill/types';
 
+/** Knowledge of the store that nodes share: a revision of the configuration was the newest one some time ago. */
+export interface Confirmation {
+  readonly revision: number;
+  /** Time since the store answered, milliseconds. */
+  readonly ageMs: Millis;
+}
+
 export interface WatchDutyOptions {
-  /** Time without evidence of a live watcher after which a node watches by itself, milliseconds. */
-  readonly timeoutMs: Millis;
+  /** Age of the newest confirmation of the configuration in force beyond which a node reads the store by itself, milliseconds. */
+  readonly maxAgeMs: Millis;
   /** Additional wait after the start, while a node is not expected to know others, milliseconds. */
   readonly startupGraceMs?: Millis;
-  /** Time for which a node that replaces the chosen watchers counts as one, milliseconds. */
+  /** Time for which a node that replaces the chosen watchers watches, milliseconds. */
   readonly standbyMs?: Millis;
 }
 
-/** Age reported before any watcher was seen, milliseconds. */
-const NEVER_SEEN_AGE_MS = 1_000_000_000;
+/** Age reported before any confirmation, milliseconds. */
+const NEVER_CONFIRMED_AGE_MS = 1_000_000_000;
 const DEFAULT_STANDBY_MS = 10_000;
 
 /**
- * A few chosen nodes watch the configuration, and each gossip message carries
- * the time since its sender last had evidence of a live watcher, which is one
- * that the store answers. Without recent evidence, a node that hears of no other
- * node watches at once, and the others do so one after the other until the
- * store answers one of them.
+ * A few chosen nodes watch the configuration. Every answer of the store to one
+ * of them confirms the configuration in force, and all messages between nodes
+ * carry the age of the newest confirmation. An open watch confirms nothing, as
+ * it may have gone silent. Once the age is too high, the nodes read the store
+ * one after the other until it answers one of them, which then watches for a while.
  */
 export class WatchDuty {
   private chosen = false;
-  /** Whether the store answered the last call for the configuration. */
-  private isAnswered = true;
-  private watcherSeenAt: Millis;
-  /** Time of the last message of another node. */
-  private reportedAt: Millis = -Infinity;
-  /** Until then a node that is not chosen does not watch, however old its evidence is. */
+  private heldRevision = 0;
+  /** Time as of which the configuration in force is known to be the newest. */
+  private confirmedAt: Millis;
+  /** Newest confirmation of a revision that this node does not have yet. */
+  private pending: {revision: number; at: Millis} | undefined;
+  /** Until then this node does not read the store by itself, unless it is a watcher. */
   private holdOffUntil: Millis;
   /** Until then this node replaces the chosen watchers. */
   private standbyUntil: Millis = -Infinity;
-  private standbyDelayMs: Millis = 0;
+  private turnDelayMs = 0;
+  private wasConfirmed = false;
 
   constructor(
     now: Millis,
     private readonly options: WatchDutyOptions,
   ) {
-    this.watcherSeenAt = now - NEVER_SEEN_AGE_MS;
-    this.holdOffUntil = now + options.timeoutMs + (options.startupGraceMs ?? 0);
+    this.confirmedAt = now - NEVER_CONFIRMED_AGE_MS;
+    const {maxAgeMs, startupGraceMs} = options;
+    this.holdOffUntil =
+      startupGraceMs === undefined ? now : now + maxAgeMs + startupGraceMs;
   }
 
-  /** Sets whether this node is a chosen watcher; one that no longer is waits as if it had just seen another. */
-  setChosen(now: Millis, chosen: boolean): void {
-    if (this.chosen && !chosen) {
-      this.watcherSeenAt = now;
-      this.holdOffUntil = now + this.options.timeoutMs;
-    }
+  /** Sets whether this node is a chosen watcher. */
+  setChosen(chosen: boolean): void {
     this.chosen = chosen;
   }
 
-  /** Sets how long this node leaves it to others to replace the chosen watchers, milliseconds. */
-  setStandbyDelay(delayMs: Millis): void {
-    this.standbyDelayMs = delayMs;
+  /** Sets how long this node leaves it to others to read the store first, milliseconds. */
+  setTurnDelay(delayMs: Millis): void {
+    this.turnDelayMs = delayMs;
+  }
+
+  /** Sets the revision of the configuration in force at this node. */
+  setHeldRevision(revision: number): void {
+    this.heldRevision = revision;
+    const {pending} = this;
+    if (pending === undefined || pending.revision > revision) return;
+    this.pending = undefined;
+    if (pending.revision === revision) this.confirm(pending.at);
+  }
+
+  /** Records that another node has a confirmation. */
+  recordConfirmation(now: Millis, {revision, ageMs}: Confirmation): void {
+    const at = now - Math.max(0, ageMs);
+    if (revision === this.heldRevision) this.confirm(at);
+    if (revision <= this.heldRevision) return;
+    const {pending} = this;
+    if (
+      pending === undefined ||
+      revision > pending.revision ||
+      (revision === pending.revision && at > pending.at)
+    )
+      this.pending = {revision, at};
+  }
+
+  /** Records that the store answered this node, which has put what it returned into force. `asOf` is the time whose state it returned. */
+  recordAnswer(now: Millis, asOf: Millis): void {
+    // A node that has just started was not the first to miss the others' confirmations.
+    const replacesWatchers = this.wasConfirmed && this.msUntilRead(now) === 0;
+    if (replacesWatchers && !this.isWatcher(now)) {
+      const {standbyMs = DEFAULT_STANDBY_MS} = this.options;
+      this.standbyUntil = now + standbyMs;
+    }
+    this.confirm(asOf);
   }
 
-  /** Records that a watcher was seen, by this node or another, `ageMs` milliseconds ago. */
-  recordWatcherSeen(now: Millis, ageMs: Millis): void {
-    this.reportedAt = now;
-    this.watcherSeenAt = Math.max(this.watcherSeenAt, now - Math.max(0, ageMs));
+  /** Records that the store did not answer this node. */
+  recordFailure(now: Millis): void {
+    if (!this.isWatcher(now)) this.holdOffUntil = now + this.options.maxAgeMs;
   }
 
-  /** Records whether the store answered a call for the configuration. */
-  recordStoreCall(now: Millis, isAnswered: boolean): void {
-    if (this.isLiveWatcher(now) && !isAnswered) this.watcherSeenAt = now;
-    if (isAnswered && !this.chosen && this.isDue(now))
-      this.standbyUntil = now + (this.options.standbyMs ?? DEFAULT_STANDBY_MS);
-    this.isAnswered = isAnswered;
+  /** What this node tells the others. */
+  confirmation(now: Millis): Confirmation {
+    return {revision: this.heldRevision, ageMs: now - this.confirmedAt};
   }
 
-  /** Time since a live watcher was last seen, milliseconds; 0 at one. */
-  age(now: Millis): Millis {
-    return this.isLiveWatcher(now) ? 0 : now - this.watcherSeenAt;
+  /** Whether this node watches the store. */
+  isWatcher(now: Millis): boolean {
+    return this.chosen || now < this.standbyUntil;
   }
 
-  /** Whether this node should watch now. */
-  isDue(now: Millis): boolean {
-    if (this.chosen || now < this.standbyUntil) return true;
-    if (now <= this.holdOffUntil) return false;
-    const {timeoutMs} = this.options;
-    const ageMs = now - this.watcherSeenAt;
-    const hearsOfNobody = now - this.reportedAt > timeoutMs;
-    return ageMs > timeoutMs + (hearsOfNobody ? 0 : this.standbyDelayMs);
+  /** Time until this node is to read the store by itself if no newer confirmation arrives, milliseconds. */
+  msUntilRead(now: Millis): Millis {
+    const {maxAgeMs} = this.options;
+    // The store has answered a node that replaced the watchers until now.
+    const isFirst = now < this.standbyUntil + 2 * maxAgeMs;
+    const delayMs = isFirst ? 0 : this.turnDelayMs;
+    const dueAt = this.confirmedAt + maxAgeMs + delayMs;
+    return Math.max(0, dueAt - now, this.holdOffUntil - now);
   }
 
-  private isLiveWatcher(now: Millis): boolean {
-    return this.isAnswered && (this.chosen || now < this.standbyUntil);
+  private confirm(at: Millis): void {
+    this.wasConfirmed = true;
+    this.confirmedAt = Math.max(this.confirmedAt, at);
   }
 }
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -5,7 +5,8 @@
   StoreBreaker,
   StoredObject,
 } from '@goldcresthill/object-store';
-import type {Cancel, Timers} from '@goldcresthill/timers';
+import {WakeableDelay} from '@goldcresthill/timers';
+import type {Timers} from '@goldcresthill/timers';
 import type {Millis} from '@goldcresthill/types';
 import type {Result} from 'neverthrow';
 
@@ -30,7 +31,7 @@
 /** Position of a node among the watchers. */
 export interface WatcherPosition {
   readonly count: number;
-  /** Undefined if the node watches only because it hears of no watcher. */
+  /** Undefined if the node only replaces the chosen watchers. */
   readonly rank: number | undefined;
 }
 
@@ -43,21 +44,25 @@
   readonly path: string;
   /** Decodes the object; the error describes why it is invalid. */
   readonly decode: (text: string) => Result<T, string>;
+  /** Whether a configuration that is seconds old may be put into force while there is none. */
+  readonly acceptsStale: boolean;
   /** Whether this node watches the object in the store, rather than receive changes from other nodes. */
   readonly isWatcher: () => boolean;
+  /** Returns the time until this node is to read the object although it has a configuration, milliseconds. */
+  readonly msUntilRead: () => Millis;
   /** Returns the number of nodes that watch the object, and the rank of this node among them, counted from 0. */
   readonly watchers: () => WatcherPosition;
-  /**
-   * Interval at which one of the watchers renews its watch, milliseconds. A watch
-   * whose connection has gone silent reports no change and no error, so this
-   * limits the time until a change is noticed.
-   */
+  /** Interval at which one of the watchers renews its watch, milliseconds. */
   readonly renewalMs: Millis;
+  /** Returns the time since the store's newest answer to any node that this one knows of, milliseconds. */
+  readonly confirmedMs: () => Millis;
   /** Returns the version of a configuration, which is higher in each later one. */
   readonly versionOf: (config: T) => number;
   readonly onConfig: (config: T, origin: ConfigOrigin) => void;
-  /** Called after each call to the store. */
-  readonly onStoreCall: (isAnswered: boolean) => void;
+  /** The store returned the newest state as of a time, and it has been put into force. */
+  readonly onAnswer: (asOf: Millis) => void;
+  /** The store did not answer a call. */
+  readonly onNoAnswer: () => void;
   /** The store became reachable or unreachable. */
   readonly onStoreReachable: (reachable: boolean) => void;
   /** The object was rejected as invalid; the configuration in force stays. */
@@ -65,39 +70,52 @@
   readonly onFault: FaultListener;
 }
 
-/** Interval at which a node checks whether it has become a watcher, milliseconds. */
-const WATCHER_CHECK_INTERVAL_MS = 500;
+/** Longest time until a node checks again whether to read or watch, milliseconds. */
+const CHECK_INTERVAL_MS = 500;
 /** Longest watch, milliseconds; shorter than the longest wait that the store allows. */
 const MAX_WATCH_MS = 25_000;
 /** Delay before the first read is repeated if the object does not exist, milliseconds. */
 const ABSENT_RETRY_DELAY_MS = 2_000;
+/** Length of the watch of a node that replaces the chosen watchers, in renewal intervals. */
+const STANDBY_WATCH_INTERVALS = 2;
 
 /** Keeps the configuration in force and replaces it only by ones of a higher version. */
 export class ConfigFollower<T> {
   private held: {config: T; text: string} | undefined;
   private objectVersion = 0;
-  private cancelPause: Cancel | undefined;
   private closed = false;
   /** Whether the last watch ended without a change, so that this node keeps its turn among the watchers. */
   private hasTurn = false;
+  /** Time by which the last watch ended too early after that of another watcher, milliseconds. */
+  private turnShiftMs: Millis = 0;
   private isStoreReachable = true;
   /** Whether the store has no configuration yet. */
   private isAbsent = false;
+  private absentUntil: Millis = -Infinity;
+  private readonly readDelay: WakeableDelay;
+  private readonly watchDelay: WakeableDelay;
 
   private readonly unsubscribeRestored: () => void;
 
   constructor(private readonly options: ConfigFollowerOptions<T>) {
-    this.unsubscribeRestored = options.store.onRestored(() =>
-      this.forgetObject(),
-    );
+    const {timers, store} = options;
+    this.readDelay = new WakeableDelay(timers);
+    this.watchDelay = new WakeableDelay(timers);
+    this.unsubscribeRestored = store.onRestored(() => this.forgetObject());
   }
 
   /** Reads the object and follows its changes until closed. */
   async start(): Promise<void> {
-    while (!this.closed) {
-      const waitMs = await this.readOnce().catch(err => this.recordFault(err));
-      if (waitMs > 0) await this.pause(waitMs);
-    }
+    await Promise.all([
+      this.repeat(this.readDelay, () => this.readIfDue()),
+      this.repeat(this.watchDelay, () => this.watchIfDue()),
+    ]);
+  }
+
+  /** Checks at once whether to read or watch, as what `isWatcher` or `msUntilRead` returns has changed. */
+  reconsider(): void {
+    this.readDelay.wake();
+    this.watchDelay.wake();
   }
 
   /** Version of the configuration in force; 0 without one. */
@@ -131,80 +149,157 @@
 
   close(): void {
     this.closed = true;
-    this.cancelPause?.();
+    this.reconsider();
     this.unsubscribeRestored();
   }
 
+  /** Calls `run`, which resolves to the delay before the next call, until closed. */
+  private async repeat(
+    delay: WakeableDelay,
+    run: () => Promise<Millis>,
+  ): Promise<void> {
+    while (!this.closed) {
+      const waitMs = await run().catch(err => this.recordFault(err));
+      if (waitMs > 0) await delay.wait(waitMs);
+    }
+  }
+
   private forgetObject(): void {
     this.objectVersion = 0;
     this.isAbsent = false;
+    this.readDelay.wake();
   }
 
-  /** Reads or watches the object once; resolves to the delay before the next read, milliseconds. */
-  private async readOnce(): Promise<number> {
-    const {breaker, timers, store, path} = this.options;
+  // A watch continues from what a read has returned; a silent watch does not delay the reads.
+  private async readIfDue(): Promise<Millis> {
+    const {breaker, timers} = this.options;
+    const dueMs = this.msUntilRead();
+    if (dueMs > 0) return Math.min(dueMs, CHECK_INTERVAL_MS);
+    const now = timers.now();
+    if (!breaker.allows(now)) return breaker.waitMs(now);
+    if (this.held === undefined && this.options.acceptsStale)
+      return this.readStale();
     const isWatcher = this.options.isWatcher();
-    if (!isWatcher && this.held !== undefined) return WATCHER_CHECK_INTERVAL_MS;
-    if (!breaker.allows(timers.now())) return breaker.waitMs(timers.now());
-    const usesWatch = isWatcher && (this.objectVersion > 0 || this.isAbsent);
-    const watchMs = this.watchMs();
+    // Most nodes only find out whether the store answers again, which costs less than a read of the newest state.
+    if (!isWatcher && !this.isStoreReachable && !(await this.probe()))
+      return breaker.waitMs(timers.now());
+    return this.readNewest();
+  }
+
+  private msUntilRead(): Millis {
+    const {isWatcher, msUntilRead, timers} = this.options;
+    if (this.held === undefined)
+      return Math.max(0, this.absentUntil - timers.now());
+    const lacksObject = this.objectVersion === 0 && !this.isAbsent;
+    return lacksObject && isWatcher() ? 0 : msUntilRead();
+  }
+
+  private async readNewest(): Promise<Millis> {
+    const {timers, store, path, onAnswer} = this.options;
     const askedAt = timers.now();
-    const read = usesWatch
-      ? await store.watch(path, this.objectVersion, watchMs)
-      : await store.get(path, {stale: !isWatcher});
+    const read = await store.get(path);
+    if (this.closed) return 0;
+    if (read.isErr()) return this.recordNoAnswer();
+    this.recordReachable();
+    this.applyObject(read.value, 'read', askedAt);
+    onAnswer(askedAt);
+    this.watchDelay.wake();
+    return 0;
+  }
+
+  private async readStale(): Promise<Millis> {
+    const {timers, store, path} = this.options;
+    const askedAt = timers.now();
+    const read = await store.get(path, {stale: true});
+    if (this.closed) return 0;
+    if (read.isErr()) return this.recordNoAnswer();
+    this.recordReachable();
+    this.applyObject(read.value, 'staleRead', askedAt);
+    return 0;
+  }
+
+  private async probe(): Promise<boolean> {
+    const {store, path} = this.options;
+    const read = await store.get(path, {stale: true});
+    if (this.closed) return false;
+    if (read.isErr()) this.recordNoAnswer();
+    return read.isOk();
+  }
+
+  private async watchIfDue(): Promise<Millis> {
+    const {breaker, timers, store, path, onAnswer} = this.options;
+    const now = timers.now();
+    const knowsObject = this.objectVersion > 0 || this.isAbsent;
+    if (!knowsObject || !this.options.isWatcher()) return CHECK_INTERVAL_MS;
+    if (!breaker.allows(now)) return breaker.waitMs(now);
+    const watchMs = this.watchMs();
+    const watched = await store.watch(path, this.objectVersion, watchMs);
     if (this.closed) return 0;
-    this.options.onStoreCall(read.isOk());
-    this.hasTurn = usesWatch && read.isOk() && read.value === undefined;
-    if (read.isErr()) {
-      breaker.fail(timers.now());
-      this.setStoreReachable(false);
+    this.hasTurn = watched.isOk() && watched.value === undefined;
+    if (watched.isErr()) {
       // A failed watch may have missed a change, so the object is read again.
       this.forgetObject();
-      return breaker.waitMs(timers.now());
+      return this.recordNoAnswer();
     }
-    breaker.succeed();
-    this.setStoreReachable(true);
-    const readSource = isWatcher ? 'read' : 'staleRead';
-    return this.applyObject(read.value, {
-      source: usesWatch ? 'watch' : readSource,
-      askedMs: timers.now() - askedAt,
-    });
+    this.recordReachable();
+    const {renewalMs, confirmedMs} = this.options;
+    this.turnShiftMs = Math.max(0, renewalMs - confirmedMs());
+    if (watched.value === undefined) {
+      // This process may read the answer late.
+      onAnswer(Math.min(timers.now(), now + watchMs));
+    } else {
+      this.applyObject(watched.value, 'watch', now);
+      onAnswer(timers.now());
+    }
+    return 0;
   }
 
   // An object that cannot be handled must not end the watch for later ones.
-  private recordFault(err: unknown): number {
+  private recordFault(err: unknown): Millis {
     const {breaker, timers, onFault} = this.options;
     onFault(err);
     breaker.fail(timers.now());
     return breaker.waitMs(timers.now());
   }
 
+  private recordNoAnswer(): Millis {
+    const {breaker, timers, onNoAnswer} = this.options;
+    breaker.fail(timers.now());
+    onNoAnswer();
+    this.setStoreReachable(false);
+    return breaker.waitMs(timers.now());
+  }
+
+  private recordReachable(): void {
+    this.options.breaker.succeed();
+    this.setStoreReachable(true);
+  }
+
   // A change ends the watches of all watchers at once. The next ones end one
-  // after the other, and each later one takes as long as a round of all watchers.
+  // after the other, and each later one takes as long as a round of all
+  // watchers. A watcher that ends too early after another one moves back.
   private watchMs(): Millis {
+    const {renewalMs} = this.options;
     const {count, rank} = this.options.watchers();
-    const turns = this.hasTurn || rank === undefined ? count : rank + 1;
-    return Math.min(MAX_WATCH_MS, turns * this.options.renewalMs);
+    const turns = rank === undefined ? STANDBY_WATCH_INTERVALS : rank + 1;
+    const isInRound = this.hasTurn && rank !== undefined;
+    const watchMs = isInRound
+      ? count * renewalMs + this.turnShiftMs
+      : turns * renewalMs;
+    return Math.min(MAX_WATCH_MS, watchMs);
   }
 
   private applyObject(
     object: StoredObject | undefined,
-    origin: ConfigOrigin,
-  ): number {
-    if (object === undefined) return this.handleAbsence();
-    this.isAbsent = false;
-    this.objectVersion = object.version;
-    this.offer(object.value, origin);
-    return 0;
-  }
-
-  // A watcher waits for the first configuration at the store; other nodes receive it from a watcher.
-  private handleAbsence(): number {
-    if (this.options.isWatcher()) {
-      this.isAbsent = this.objectVersion === 0;
-      return 0;
-    }
-    return ABSENT_RETRY_DELAY_MS;
+    source: ConfigSource,
+    askedAt: Millis,
+  ): void {
+    const now = this.options.timers.now();
+    this.isAbsent = object === undefined;
+    this.objectVersion = object?.version ?? 0;
+    this.absentUntil = now + ABSENT_RETRY_DELAY_MS;
+    if (object !== undefined)
+      this.offer(object.value, {source, askedMs: now - askedAt});
   }
 
   private setStoreReachable(reachable: boolean): void {
@@ -212,10 +307,4 @@
     this.isStoreReachable = reachable;
     this.options.onStoreReachable(reachable);
   }
-
-  private pause(waitMs: number): Promise<void> {
-    return new Promise(resolve => {
-      this.cancelPause = this.options.timers.after(waitMs, resolve);
-    });
-  }
 }
--- a/packages/node/src/config/config_follower_test.ts
+++ b/packages/node/src/config/config_follower_test.ts
@@ -27,12 +27,16 @@
       if (text === 'odd') throw new RangeError('too deep');
       return ok(Number(text));
     },
+    acceptsStale: false,
     isWatcher: () => true,
+    msUntilRead: () => Infinity,
     watchers: () => ({count: 1, rank: 0}),
     renewalMs: 1_000,
+    confirmedMs: () => 1_000,
     versionOf: version => version,
     onConfig: version => versions.push(version),
-    onStoreCall: () => undefined,
+    onAnswer: () => undefined,
+    onNoAnswer: () => undefined,
     onStoreReachable: () => undefined,
     onInvalid: () => undefined,
     onFault: err => faults.push(String(err)),
--- a/packages/node/src/member/member_task.ts
+++ b/packages/node/src/member/member_task.ts
@@ -247,8 +247,11 @@
     this.isFetchingConfig = true;
     const {links, events} = this.options;
     const askedAt = this.now();
-    const delta = await links.fetchConfig(from, events.heldRevision());
-    this.isFetchingConfig = false;
+    const delta = await links
+      .fetchConfig(from, events.heldRevision())
+      .finally(() => {
+        this.isFetchingConfig = false;
+      });
     if (delta !== undefined)
       events.onConfigDelta(delta, from, this.now() - askedAt);
   }
--- a/packages/node/src/peers/datagram_links.ts
+++ b/packages/node/src/peers/datagram_links.ts
@@ -2,9 +2,14 @@
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
 import {runGuarded} from '@goldcresthill/errors';
-import type {ExchangeMessage} from '@goldcresthill/membership';
+import type {Confirmation, ExchangeMessage} from '@goldcresthill/membership';
 import {decodeDatagram, encodeDatagram} from '@goldcresthill/peers';
-import type {Datagram, LoadResponse, LoadRequest} from '@goldcresthill/peers';
+import type {
+  Datagram,
+  ExchangeDatagram,
+  LoadResponse,
+  LoadRequest,
+} from '@goldcresthill/peers';
 import type {Cancel, Timers} from '@goldcresthill/timers';
 import type {
   AdmissionEstimate,
@@ -25,8 +30,11 @@
     query: AdmissionQuery,
     reply: (estimate: AdmissionEstimate | undefined) => void,
   ) => void;
-  /** The sender of a message last had evidence of a watcher of the configuration `ageMs` milliseconds ago. */
-  readonly onWatcherSeen: (ageMs: Millis) => void;
+  /** The sender of a message has a confirmation of the configuration; `isSpread` if it is to be passed on. */
+  readonly onConfirmation: (
+    confirmation: Confirmation,
+    isSpread: boolean,
+  ) => void;
   readonly onFault: (err: unknown) => void;
 }
 
@@ -34,8 +42,8 @@
 export interface DatagramLinksOptions {
   readonly address: NodeAddress;
   readonly timers: Timers;
-  /** Returns the time since this node last had evidence of a watcher, milliseconds. */
-  readonly watcherAgeMs: () => Millis;
+  /** Returns the age of the newest confirmation of the configuration in force, milliseconds. */
+  readonly confirmedMs: () => Millis;
   readonly events: DatagramEvents;
 }
 
@@ -90,8 +98,8 @@
       const ref = this.addPending(EXCHANGE_TIMEOUT_MS, answer =>
         resolve(answer?.type === 'answer' ? answer.message : undefined),
       );
-      const watchedMs = this.options.watcherAgeMs();
-      this.send({type: 'exchange', ref, message, watchedMs}, to);
+      const confirmedMs = this.options.confirmedMs();
+      this.send({type: 'exchange', ref, message, confirmedMs}, to);
     });
   }
 
@@ -107,6 +115,11 @@
     this.send({type: 'ask', ref, query}, to);
   }
 
+  /** Tells a node of a confirmation; it may be lost. */
+  confirm(to: NodeAddress, confirmation: Confirmation): void {
+    this.send({type: 'confirmed', confirmation}, to);
+  }
+
   /** Fetches the complete configuration, which is the change since revision 0. */
   override async fetchConfig(
     from: NodeAddress,
@@ -151,23 +164,26 @@
   }
 
   private dispatch(datagram: Datagram, host: string, port: number): void {
-    const {events, watcherAgeMs} = this.options;
+    const {events, confirmedMs} = this.options;
     const from = {host, controlPort: port};
     switch (datagram.type) {
       case 'exchange': {
-        events.onWatcherSeen(datagram.watchedMs);
+        this.recordConfirmation(datagram);
         const message = events.onExchange(datagram.message);
         const {ref} = datagram;
         this.send(
-          {type: 'answer', ref, message, watchedMs: watcherAgeMs()},
+          {type: 'answer', ref, message, confirmedMs: confirmedMs()},
           from,
         );
         return;
       }
       case 'answer':
-        events.onWatcherSeen(datagram.watchedMs);
+        this.recordConfirmation(datagram);
         this.complete(datagram.ref, datagram);
         return;
+      case 'confirmed':
+        events.onConfirmation(datagram.confirmation, true);
+        return;
       case 'ask':
         this.answerLoadRequest(datagram, from);
         return;
@@ -177,6 +193,12 @@
     }
   }
 
+  private recordConfirmation({confirmedMs, message}: ExchangeDatagram): void {
+    const {configRevision: revision} = message;
+    const confirmation = {revision, ageMs: confirmedMs};
+    this.options.events.onConfirmation(confirmation, false);
+  }
+
   private answerLoadRequest(
     {ref, query}: LoadRequest,
     from: Pick<NodeAddress, 'host' | 'controlPort'>,
--- a/packages/node/src/peers/datagram_links_test.ts
+++ b/packages/node/src/peers/datagram_links_test.ts
@@ -40,11 +40,11 @@
   return new DatagramLinks({
     address,
     timers: new RealTimers(),
-    watcherAgeMs: () => 0,
+    confirmedMs: () => 0,
     events: {
       onExchange: () => messageOf(address),
       onLoadRequest: () => undefined,
-      onWatcherSeen: () => undefined,
+      onConfirmation: () => undefined,
       onFault: () => undefined,
       ...events,
     },
@@ -73,7 +73,7 @@
   const faults: string[] = [];
   let handled = 0;
   const links = newLinks(address, {
-    onWatcherSeen: () => {
+    onConfirmation: () => {
       if (handled++ === 0) throw new Error('unexpected');
     },
     onFault: err => faults.push(String(err)),
@@ -84,7 +84,7 @@
     type: 'exchange',
     ref: 1,
     message: messageOf(address),
-    watchedMs: 0,
+    confirmedMs: 0,
   });
   const answered = new Promise(done => sender.once('message', done));
   for (let i = 0; i < 2; i++)
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -1,13 +1,9 @@
 /** Membership, configuration and presence of a node whose store returns lists in pages. */
 import type {Logger} from '@goldcresthill/logger';
 import {runGuarded} from '@goldcresthill/errors';
-import {
-  ownerOf,
-  standbyRankOf,
-  WatchDuty,
-  watchersOf,
-} from '@goldcresthill/membership';
+import {ownerOf, standbyRankOf, WatchDuty} from '@goldcresthill/membership';
 import type {
+  Confirmation,
   ExchangeMessage,
   QuarantineUpdate,
   MemberRecord,
@@ -24,6 +20,8 @@
 import {MemberTask} from '../member/member_task';
 import type {PeerLinks} from '../member/peer_links';
 import {Presence} from '../member/presence';
+import {ConfirmationRelay} from './confirmation_relay';
+import type {ConfirmationSender} from './confirmation_relay';
 import {RecentQuarantineUpdates} from '../peers/recent_quarantine_updates';
 import {MemberTableFetcher} from '../peers/member_table_fetcher';
 
@@ -55,6 +53,9 @@
   readonly fetchMemberTable: (from: NodeAddress) => Promise<string | undefined>;
   /** Byte budget for gossip, per second. */
   readonly bytesPerSecond: number;
+  readonly sendConfirmation: ConfirmationSender;
+  /** Whether the whole fleet starts for the first time, so that there is no earlier configuration. */
+  readonly isFirstStart: boolean;
   /** Path of the store object that holds the configuration. */
   readonly configPath: string;
   readonly decodeConfig: (text: string) => Result<Config, string>;
@@ -69,14 +70,16 @@
   readonly events: SidecarControlEvents<Config>;
 }
 
-/** Nodes of each failure domain that watch the configuration in the store. */
-const WATCHERS_PER_DOMAIN = 2;
-/** Time without evidence of a watcher after which a node watches by itself, as a fraction of `configApplyMs`. */
-const WATCH_TIMEOUT_FRACTION = 0.6;
+/** Age of the newest confirmation beyond which a node reads the store by itself, as a fraction of `configApplyMs`. */
+const MAX_CONFIRMATION_AGE_FRACTION = 0.6;
 /** Interval at which one of the watchers renews its watch, as a fraction of `configApplyMs`. */
-const WATCH_RENEWAL_FRACTION = 0.5;
-/** Interval at which one more node tries to replace watchers that the store does not answer, milliseconds. */
-const STANDBY_INTERVAL_MS = 250;
+const WATCH_RENEWAL_FRACTION = 0.25;
+/** Shortest time between confirmations that a node spreads, as a fraction of the renewal interval. */
+const SPREAD_FRACTION = 0.5;
+/** Interval at which the chosen watchers read the store when confirmations are missing, milliseconds. */
+const WATCHER_READ_INTERVAL_MS = 50;
+/** Interval at which twice as many other nodes read the store then, milliseconds. */
+const STANDBY_READ_INTERVAL_MS = 75;
 /** Time within which nodes that start at the same time find each other, milliseconds; lists may be seconds out of date. */
 const STARTUP_GRACE_MS = 3_500;
 /** Interval between gossip rounds, milliseconds. */
@@ -101,6 +104,7 @@
 export class SidecarControl<Config> {
   private readonly member: MemberTask;
   private readonly watchDuty: WatchDuty;
+  private readonly confirmations: ConfirmationRelay;
   private readonly memberTableFetcher: MemberTableFetcher;
   private readonly recentUpdates = new RecentQuarantineUpdates();
   private readonly presence: Presence;
@@ -108,6 +112,7 @@
   private membersPending = false;
   private watcherPosition: WatcherPosition = {count: 1, rank: undefined};
   private wasWatcher = false;
+  private wasChosen = false;
   private closed = false;
   private cancelResends: Cancel = () => undefined;
   private unsubscribeRestored: () => void = () => undefined;
@@ -116,8 +121,13 @@
 
   constructor(private readonly options: SidecarControlOptions<Config>) {
     this.watchDuty = new WatchDuty(options.timers.now(), {
-      timeoutMs: options.configApplyMs * WATCH_TIMEOUT_FRACTION,
-      startupGraceMs: STARTUP_GRACE_MS,
+      maxAgeMs: options.configApplyMs * MAX_CONFIRMATION_AGE_FRACTION,
+      startupGraceMs: options.isFirstStart ? STARTUP_GRACE_MS : undefined,
+    });
+    this.confirmations = new ConfirmationRelay({
+      self: options.address,
+      send: options.sendConfirmation,
+      intervalMs: this.renewalMs * SPREAD_FRACTION,
     });
     this.member = this.makeMember();
     this.memberTableFetcher = this.makeMemberTableFetcher();
@@ -148,15 +158,17 @@
     return this.member.receive(message);
   }
 
-  /** Time since this node last had evidence of a watcher of the configuration, milliseconds. */
-  get watcherAgeMs(): Millis {
-    return this.watchDuty.age(this.options.timers.now());
+  /** The newest confirmation of the configuration in force at this node. */
+  get confirmation(): Confirmation {
+    return this.watchDuty.confirmation(this.options.timers.now());
   }
 
-  /** Records that another node last had evidence of a watcher `ageMs` milliseconds ago. */
-  recordWatcherSeen(ageMs: Millis): void {
+  /** Records a confirmation of another node and passes it on if that node spreads it. */
+  recordConfirmation(confirmation: Confirmation, isSpread: boolean): void {
     this.hasContact = true;
-    this.watchDuty.recordWatcherSeen(this.options.timers.now(), ageMs);
+    const now = this.options.timers.now();
+    this.watchDuty.recordConfirmation(now, confirmation);
+    if (isSpread) this.confirmations.passOn(now, confirmation);
   }
 
   setServers(servers: readonly ServerRecord[]): void {
@@ -294,19 +306,23 @@
       decode: decodeConfig,
       isWatcher: () => this.isWatcher(),
       watchers: () => this.watcherPosition,
-      renewalMs: options.configApplyMs * WATCH_RENEWAL_FRACTION,
+      acceptsStale: options.isFirstStart,
+      msUntilRead: () => this.watchDuty.msUntilRead(options.timers.now()),
+      renewalMs: this.renewalMs,
+      confirmedMs: () => this.confirmation.ageMs,
       onConfig: (config, origin) => {
         const revision = options.versionOf(config);
+        this.watchDuty.setHeldRevision(revision);
         events.onConfig(config, origin);
         this.member.post({type: 'setConfigRevision', revision});
       },
-      onStoreCall: isAnswered =>
-        this.watchDuty.recordStoreCall(options.timers.now(), isAnswered),
+      onAnswer: asOf => this.recordAnswer(asOf),
+      onNoAnswer: () => this.watchDuty.recordFailure(options.timers.now()),
       onStoreReachable: reachable =>
         logger.warn(reachable ? 'storeRegained' : 'storeLost', {
           configVersion: this.config.version,
           storeEra: options.store.era,
-          watcherAgeMs: this.watcherAgeMs,
+          confirmedMs: this.confirmation.ageMs,
         }),
       onInvalid: reason =>
         logger.warn('configInvalid', {
@@ -318,17 +334,27 @@
 
   private isWatcher(): boolean {
     const now = this.options.timers.now();
-    const isWatcher = this.watchDuty.isDue(now);
+    const isWatcher = this.watchDuty.isWatcher(now);
     if (isWatcher === this.wasWatcher) return isWatcher;
     this.options.logger.info('configWatcher', {
       isWatcher,
       isChosen: this.watcherPosition.rank !== undefined,
-      watcherAgeMs: this.watchDuty.age(now),
+      confirmedMs: this.confirmation.ageMs,
     });
     this.wasWatcher = isWatcher;
     return isWatcher;
   }
 
+  private get renewalMs(): Millis {
+    return this.options.configApplyMs * WATCH_RENEWAL_FRACTION;
+  }
+
+  private recordAnswer(asOf: Millis): void {
+    const now = this.options.timers.now();
+    this.watchDuty.recordAnswer(now, asOf);
+    this.confirmations.spread(now, this.confirmation);
+  }
+
   private newBreaker(): StoreBreaker {
     const {random} = this.options;
     return new StoreBreaker({random, maxWaitMs: MAX_STORE_BACKOFF_MS});
@@ -402,18 +428,26 @@
   private updateMembers(): void {
     const {membership} = this.member;
     const reachable = membership.reachable();
-    const watchers = watchersOf(reachable, WATCHERS_PER_DOMAIN);
-    const {address, timers, events} = this.options;
+    this.confirmations.setNodes(reachable);
+    const watchers = this.confirmations.watcherNodes;
+    const {address, events} = this.options;
     // A node that does not know others yet would always be chosen.
     const isChosen = reachable.length > 1 && watchers.has(address.nodeId);
-    this.watchDuty.setChosen(timers.now(), isChosen);
-    const standbyRank = standbyRankOf(address, reachable, watchers);
-    this.watchDuty.setStandbyDelay(standbyRank * STANDBY_INTERVAL_MS);
+    this.watchDuty.setChosen(isChosen);
     const rank = [...watchers].sort().indexOf(address.nodeId);
+    const standbyRank = standbyRankOf(address, reachable, watchers);
+    this.watchDuty.setTurnDelay(
+      isChosen
+        ? rank * WATCHER_READ_INTERVAL_MS
+        : (1 + Math.floor(Math.log2(1 + standbyRank))) *
+            STANDBY_READ_INTERVAL_MS,
+    );
     this.watcherPosition = {
       count: watchers.size,
       rank: isChosen ? rank : undefined,
     };
+    if (isChosen !== this.wasChosen) this.config.reconsider();
+    this.wasChosen = isChosen;
     this.memberTableFetcher.onMembersChanged();
     events.onMembers(membership.records(), membership.cutDomains);
   }
--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -47,6 +47,8 @@
   readonly announceTtlMs: number;
   /** Service that the server of this VM provides. */
   readonly service: string;
+  /** Whether the whole fleet starts for the first time, so that there is no earlier configuration. */
+  readonly isFirstStart: boolean;
   /** Time within which a configuration must be in force at all nodes, milliseconds. */
   readonly configApplyMs: number;
   /** Writes per second that the store allows the whole fleet. */
@@ -348,12 +350,13 @@
     return new DatagramLinks({
       address: this.address,
       timers,
-      watcherAgeMs: () => this.control.watcherAgeMs,
+      confirmedMs: () => this.control.confirmation.ageMs,
       events: {
         onExchange: message => this.control.receive(message),
         onLoadRequest: (query, reply) =>
           this.gate.estimateAdmission(query, reply),
-        onWatcherSeen: ageMs => this.control.recordWatcherSeen(ageMs),
+        onConfirmation: (confirmation, isSpread) =>
+          this.control.recordConfirmation(confirmation, isSpread),
         onFault: err => this.onFault(err),
       },
     });
@@ -373,6 +376,8 @@
       store: this.store,
       links: this.links,
       fetchMemberTable: fetchMembers,
+      sendConfirmation: (to, confirmation) =>
+        this.links.confirm(to, confirmation),
       bytesPerSecond: settings.membership.bytes_per_second,
       versionOf: config => config.version,
       expectedServer: () => this.expectedServer(),
--- a/packages/peers/src/datagram.ts
+++ b/packages/peers/src/datagram.ts
@@ -1,5 +1,5 @@
 /** Types of the datagrams between nodes. */
-import type {ExchangeMessage} from '@goldcresthill/membership';
+import type {Confirmation, ExchangeMessage} from '@goldcresthill/membership';
 import type {
   AdmissionEstimate,
   AdmissionQuery,
@@ -12,8 +12,8 @@
   /** Correlates an answer with its request. */
   readonly ref: number;
   readonly message: ExchangeMessage;
-  /** Time since the sender last had evidence of a node that watches the configuration, milliseconds. */
-  readonly watchedMs: Millis;
+  /** Age of the newest confirmation of the sender's configuration, milliseconds. */
+  readonly confirmedMs: Millis;
 }
 
 /** A gateway's request for the load of the server on a node's VM, and for whether it would admit a call. */
@@ -33,4 +33,11 @@
   readonly estimate: AdmissionEstimate | undefined;
 }
 
-export type Datagram = ExchangeDatagram | LoadRequest | LoadResponse;
+/** A revision of the configuration was the newest one in the store a while ago. */
+export interface ConfirmationDatagram {
+  readonly type: 'confirmed';
+  readonly confirmation: Confirmation;
+}
+
+export type Datagram =
+  ExchangeDatagram | LoadRequest | LoadResponse | ConfirmationDatagram;
--- a/packages/peers/src/datagram_codec.ts
+++ b/packages/peers/src/datagram_codec.ts
@@ -129,13 +129,13 @@
     z.boolean(),
     nonNegative,
   ])
-  .transform(([type, ref, watchedMs, from, records, news, ...rest]) => {
+  .transform(([type, ref, confirmedMs, from, records, news, ...rest]) => {
     const [digest, buckets, configRevision, target, probeReached, storeEra] =
       rest;
     return {
       type,
       ref,
-      watchedMs,
+      confirmedMs,
       message: {
         from,
         records,
@@ -192,12 +192,20 @@
     estimate: report === null ? undefined : {report, accepts},
   }));
 
+const confirmationSchema = z
+  .tuple([z.literal('confirmed'), nonNegative, nonNegative])
+  .transform(([type, revision, ageMs]) => ({
+    type,
+    confirmation: {revision, ageMs},
+  }));
+
 /** Schemas by the first element of the tuple, as most datagrams concern load. */
 const SCHEMAS: Readonly<Record<Datagram['type'], z.ZodType<Datagram>>> = {
   ask: loadRequestSchema,
   load: loadResponseSchema,
   exchange: exchangeSchema,
   answer: exchangeSchema,
+  confirmed: confirmationSchema,
 };
 
 export function encodeDatagram(datagram: Datagram): string {
@@ -271,8 +279,12 @@
     }
     case 'exchange':
     case 'answer': {
-      const {type, ref, watchedMs, message} = datagram;
-      return [type, ref, Math.round(watchedMs), ...messageToTuple(message)];
+      const {type, ref, confirmedMs, message} = datagram;
+      return [type, ref, Math.ceil(confirmedMs), ...messageToTuple(message)];
+    }
+    case 'confirmed': {
+      const {revision, ageMs} = datagram.confirmation;
+      return [datagram.type, revision, Math.ceil(ageMs)];
     }
   }
 }
--- a/packages/peers/src/datagram_codec_test.ts
+++ b/packages/peers/src/datagram_codec_test.ts
@@ -49,7 +49,7 @@
 const exchange = fc.record({
   type: fc.constantFrom('exchange', 'answer'),
   ref: count,
-  watchedMs: count,
+  confirmedMs: count,
   message: fc.record({
     from: address,
     records: fc.array(record, {maxLength: 3}),
@@ -157,7 +157,7 @@
       probeTarget: undefined,
       probeReached: false,
     };
-    const sent = {type: 'exchange' as const, ref: 1, watchedMs: 0, message};
+    const sent = {type: 'exchange' as const, ref: 1, confirmedMs: 0, message};
     const read = decodeDatagram(Buffer.from(encodeDatagram(sent)));
     expect(read).toEqual({...sent, message: {...message, records: [good]}});
     const updates = [
--- a/packages/timers/src/index.ts
+++ b/packages/timers/src/index.ts
@@ -2,3 +2,4 @@
 export {Timers} from './timers';
 export type {Cancel} from './timers';
 export {RealTimers, runAfter} from './real_timers';
+export {WakeableDelay} from './wakeable_delay';
--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -2,7 +2,7 @@
 import {PassThrough} from 'node:stream';
 import {Logger} from '@goldcresthill/logger';
 import {messageBytes} from '@goldcresthill/membership';
-import type {ExchangeMessage} from '@goldcresthill/membership';
+import type {Confirmation, ExchangeMessage} from '@goldcresthill/membership';
 import {PeerLinks, SidecarControl} from '@goldcresthill/node';
 import type {ConfigDelta} from '@goldcresthill/node';
 import {
@@ -46,6 +46,8 @@
 const DEFAULT_CONFIG_APPLY_MS = 2_500;
 const EXCHANGE_TIMEOUT_MS = 300;
 const BYTES_PER_SECOND = 9_000;
+/** Size of a confirmation with its headers. */
+const CONFIRMATION_BYTES = 60;
 const DEFAULT_READ_LAG_MS = 3_000;
 const PAGE_SIZE = 50;
 const STORE_WRITES_PER_SECOND = 400;
@@ -85,12 +87,12 @@
 
   /** Starts all nodes at the same instant. */
   startAll(): void {
-    for (let i = 0; i < this.options.nodes; i++) this.boot(i);
+    for (let i = 0; i < this.options.nodes; i++) this.boot(i, true);
   }
 
   /** Starts a node, or restarts it with empty state. */
-  boot(index: number): void {
-    const node = this.createNode(index);
+  boot(index: number, isFirstStart = true): void {
+    const node = this.createNode(index, isFirstStart);
     this.nodes[index] = node;
     node.control.start();
     // The server on the VM announces itself before the node joins.
@@ -211,6 +213,23 @@
     });
   }
 
+  /** Sends a confirmation, as by a datagram without an answer. */
+  sendConfirmation(
+    from: NodeAddress,
+    to: NodeAddress,
+    confirmation: Confirmation,
+  ): void {
+    this.traffic.messages++;
+    this.traffic.bytes += CONFIRMATION_BYTES;
+    if (from.domain !== to.domain)
+      this.traffic.crossDomainBytes += CONFIRMATION_BYTES;
+    const node = this.nodes.find(n => n.address.nodeId === to.nodeId);
+    if (node === undefined || this.isLost(from, to)) return;
+    node.timers.after(this.delayMs(from, to), () =>
+      node.control.recordConfirmation(confirmation, true),
+    );
+  }
+
   countTraffic(
     message: ExchangeMessage,
     from: NodeAddress,
@@ -240,7 +259,10 @@
     return (from.domain === to.domain ? 0.2 : 1) * (1 + this.random());
   }
 
-  private createNode(index: number): SidecarSimulationNode {
+  private createNode(
+    index: number,
+    isFirstStart: boolean,
+  ): SidecarSimulationNode {
     const {domains, configApplyMs = DEFAULT_CONFIG_APPLY_MS} = this.options;
     const timers = new VirtualTimers(this.clock);
     const domain = `d${index % domains}`;
@@ -278,6 +300,9 @@
           from,
           node => node.control.memberTableText,
         ),
+      sendConfirmation: (to, confirmation) =>
+        this.sendConfirmation(address, to, confirmation),
+      isFirstStart,
       bytesPerSecond: BYTES_PER_SECOND,
       configPath: CONFIG_PATH,
       decodeConfig: text => ok(Number(text)),
@@ -330,15 +355,15 @@
   ): Promise<ExchangeMessage | undefined> {
     const {fleet, self, timers} = this;
     fleet.countTraffic(message, self, to);
-    const watchedMs = this.control().watcherAgeMs;
+    const {confirmation} = this.control();
     const answer = await fleet.requestReply(timers, self, to, node => {
-      node.control.recordWatcherSeen(watchedMs);
+      node.control.recordConfirmation(confirmation, false);
       const reply = node.control.receive(message);
       fleet.countTraffic(reply, self, to);
-      return {reply, watchedMs: node.control.watcherAgeMs};
+      return {reply, confirmation: node.control.confirmation};
     });
     if (answer !== undefined)
-      this.control().recordWatcherSeen(answer.watchedMs);
+      this.control().recordConfirmation(answer.confirmation, false);
     return answer?.reply;
   }
 
--- a/packages/trials/src/member/sidecar_simulation_test.ts
+++ b/packages/trials/src/member/sidecar_simulation_test.ts
@@ -1,3 +1,4 @@
+import {watchersOf} from '@goldcresthill/membership';
 import type {PlatformCopy} from '@goldcresthill/test-utils';
 import {describe, expect, it} from 'vitest';
 import {SidecarSimulation} from './sidecar_simulation';
@@ -20,6 +21,7 @@
 const STANDBY_INTERVAL_MS = 250;
 /** Calls a second of a node that the store does not answer. */
 const CALLS_PER_WATCHER_S = 2;
+const WATCHERS_PER_DOMAIN = 2;
 const SIZES = [
   {domains: 3, nodes: 9},
   {domains: 4, nodes: 75},
@@ -62,8 +64,10 @@
 
 /** Indexes of the few nodes that watch the store; the others receive changes from them. */
 function watcherIndexes(fleet: SidecarSimulation): number[] {
+  const addresses = fleet.liveNodes.map(node => node.address);
+  const chosen = watchersOf(addresses, WATCHERS_PER_DOMAIN);
   return fleet.liveNodes
-    .filter(node => node.control.watcherAgeMs === 0)
+    .filter(({address}) => chosen.has(address.nodeId))
     .map(node => node.index);
 }
 
