A node that starts again reads the newest configuration, not one that may be seconds old

After all nodes had been killed beside reads that were out of date, each put a version that was 12 s old into force and replaced it half a second later: callers saw an older state come back. With watchers that the store turns away it stayed for seconds.

Cause: every first read allowed stale data, as it costs a tenth. Only the first start of the whole fleet has no earlier configuration, so only that one begins with a stale read now; the settings tell (first_start).

--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -91,7 +91,7 @@
   }
 
   /** Starts a node, or restarts it with empty state. */
-  boot(index: number, isFirstStart = true): void {
+  boot(index: number, isFirstStart = false): void {
     const node = this.createNode(index, isFirstStart);
     this.nodes[index] = node;
     node.control.start();
