A leaving node watches the configuration by itself

The others no longer count a leaving node as a member and tell it nothing; it heard of changes only by its own rounds. It serves callers until 2.75 s after SIGTERM, longer than a deployment may excuse. It watches the store now, two calls for each stop.

--- a/packages/membership/src/watch_duty.ts
+++ b/packages/membership/src/watch_duty.ts
@@ -30,6 +30,7 @@
  */
 export class WatchDuty {
   private chosen = false;
+  private leaving = false;
   private heldRevision = 0;
   /** Time as of which the configuration in force is known to be the newest. */
   private confirmedAt: Millis;
@@ -57,6 +58,11 @@
     this.chosen = chosen;
   }
 
+  /** Sets that this node leaves: others no longer count on it and tell it nothing, so it watches by itself. */
+  setLeaving(): void {
+    this.leaving = true;
+  }
+
   /** Sets how long this node leaves it to others to read the store first, milliseconds. */
   setTurnDelay(delayMs: Millis): void {
     this.turnDelayMs = delayMs;
@@ -108,7 +114,7 @@
 
   /** Whether this node watches the store. */
   isWatcher(now: Millis): boolean {
-    return this.chosen || now < this.standbyUntil;
+    return this.chosen || this.leaving || now < this.standbyUntil;
   }
 
   /** Time until this node is to read the store by itself if no newer confirmation arrives, milliseconds. */
--- a/packages/membership/src/watch_duty_test.ts
+++ b/packages/membership/src/watch_duty_test.ts
@@ -126,4 +126,11 @@
       500, 0,
     ]);
   });
+
+  // Guards against a node that hears of no change any more once the others count it as gone.
+  it('a node that leaves watches', () => {
+    const duty = newDuty();
+    duty.setLeaving();
+    expect(duty.isWatcher(0)).toBe(true);
+  });
 });
--- a/packages/node/src/sidecar/sidecar_control.ts
+++ b/packages/node/src/sidecar/sidecar_control.ts
@@ -200,6 +200,8 @@
   /** Announces to the others that this node is leaving. */
   leave(): void {
     this.member.post({type: 'leave'});
+    this.watchDuty.setLeaving();
+    this.config.reconsider();
   }
 
   get configVersion(): number {
