--- a/packages/test-utils/src/stale_store.ts
+++ b/packages/test-utils/src/stale_store.ts
@@ -22,6 +22,8 @@
   readonly pageSize: number;
   /** How the store treats this process; as `up` by default. */
   readonly availability?: () => StoreAvailability;
+  /** Duration of each call, milliseconds; a few if undefined. */
+  readonly callDelayMs?: () => number | undefined;
   /** Runs a function of this process after a delay, milliseconds; on the clock by default. */
   readonly after?: (delayMs: number, run: () => void) => void;
 }
@@ -29,8 +31,7 @@
 /** How a store treats the calls of a process: it answers, refuses, or never answers. */
 export type StoreAvailability = 'up' | 'refusing' | 'silent';
 
-/** Duration of each call in virtual time. */
-const CALL_DELAY_MS = 4;
+const DEFAULT_CALL_DELAY_MS = 4;
 /** Time after which a call without an answer fails, milliseconds. */
 const CALL_TIMEOUT_MS = 1_000;
 /** Time after its end at which a watch that has gone silent fails, milliseconds. */
@@ -175,7 +176,7 @@
       return report(current);
     unsubscribe = platform.watch(path, object => {
       unsubscribe();
-      this.after(CALL_DELAY_MS, () => report(object));
+      this.after(this.callDelayMs, () => report(object));
     });
     this.after(waitMs, () => report(undefined));
     this.after(waitMs + WATCH_GRACE_MS, () => {
@@ -200,7 +201,7 @@
       new Promise(done => {
         if (availability() === 'silent')
           return this.after(timeoutMs, () => fail(done));
-        this.after(CALL_DELAY_MS, () => {
+        this.after(this.callDelayMs, () => {
           if (availability() !== 'up') return fail(done);
           this.recordEra(this.options.platform.era);
           done(answer());
@@ -209,6 +210,10 @@
     );
   }
 
+  private get callDelayMs(): number {
+    return this.options.callDelayMs?.() ?? DEFAULT_CALL_DELAY_MS;
+  }
+
   private after(delayMs: number, run: () => void): void {
     const {after, clock} = this.options;
     if (after === undefined) clock.after(delayMs, run);
--- a/packages/trials/src/member/sidecar_simulation.ts
+++ b/packages/trials/src/member/sidecar_simulation.ts
@@ -46,6 +46,7 @@
 const DEFAULT_CONFIG_APPLY_MS = 2_500;
 const EXCHANGE_TIMEOUT_MS = 300;
 const BYTES_PER_SECOND = 9_000;
+const FIRST_BOOT_ID = 1_000_000;
 /** Size of a confirmation with its headers. */
 const CONFIRMATION_BYTES = 60;
 const DEFAULT_READ_LAG_MS = 3_000;
@@ -71,6 +72,12 @@
   readonly nodesWithoutStore = new Set<string>();
   /** IDs of nodes to which the store is silent; see `silenceStore`. */
   readonly nodesWithSilentStore = new Set<string>();
+  /** Share of messages that are lost, from 0 to 1. */
+  loss: number;
+  /** Time of day by which nodes that start are behind, in boots of the fleet; their incarnations are lower. */
+  clockBack = 0;
+  /** Duration of each call to the store, milliseconds. */
+  storeDelayMs: number | undefined;
   /** Whether configurations that a node sends to another one are lost. */
   losesConfigTransfers = false;
   private readonly logger = new Logger({
@@ -83,6 +90,7 @@
 
   constructor(readonly options: SidecarSimulationOptions) {
     this.random = seededRandom(options.seed);
+    this.loss = options.loss ?? 0;
   }
 
   /** Starts all nodes at the same instant. */
@@ -252,7 +260,7 @@
       this.isolatedNodes.has(to.nodeId)
     )
       return true;
-    return this.random() < (this.options.loss ?? 0);
+    return this.random() < this.loss;
   }
 
   private delayMs(from: NodeAddress, to: NodeAddress): number {
@@ -268,7 +276,7 @@
     const domain = `d${index % domains}`;
     const address: NodeAddress = {
       nodeId: `${domain}-${String(index).padStart(4, '0')}`,
-      bootId: ++this.bootCount,
+      bootId: FIRST_BOOT_ID + ++this.bootCount - this.clockBack,
       host: '127.0.0.1',
       dataPort: 1,
       controlPort: 1,
@@ -282,6 +290,7 @@
       pageSize: PAGE_SIZE,
       availability: () => this.storeAvailability(address.nodeId),
       after: (delayMs, run) => timers.after(delayMs, run),
+      callDelayMs: () => this.storeDelayMs,
     });
     const leavingInstances: string[] = [];
     const quarantine = new Quarantine();
