A large configuration over a slow link arrives, as long as its bytes do

Evidence: two tests of slow transfers failed before (300 and 500 ms) and pass; two that a transfer which stalls is given up passed before and do now.

--- a/packages/node/src/gateway/gate_client.ts
+++ b/packages/node/src/gateway/gate_client.ts
@@ -4,7 +4,7 @@
 import {isErrorKind, runGuarded} from '@goldcresthill/errors';
 import type {ErrorKind} from '@goldcresthill/errors';
 import {decodeLoadReport, HEADERS} from '@goldcresthill/protocol';
-import {runAfter} from '@goldcresthill/timers';
+import {runAfter, TransferTimeout} from '@goldcresthill/timers';
 import type {
   AttemptId,
   CallAttributes,
@@ -230,14 +230,17 @@
       headers,
       body: EMPTY_BODY,
       maxBufferedBytes,
+      onProgress: () => timeout.recordProgress(),
     };
     const exchange = new HttpExchange(req, result => {
-      cancelTimeout();
+      timeout.close();
       done(result);
     });
-    const cancelTimeout = runAfter(QUERY_TIMEOUT_MS, () =>
-      exchange.abort('query timed out'),
-    );
+    const timeout = new TransferTimeout({
+      firstMs: QUERY_TIMEOUT_MS,
+      idleMs: QUERY_TIMEOUT_MS,
+      onTimeout: () => exchange.abort('query timed out'),
+    });
     exchange.start(dispatcher);
   });
 }
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -20,6 +20,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ) => boolean;
+  /** Called when bytes of the answer's body have arrived. */
+  readonly onProgress?: () => void;
 }
 
 /** Body of an answer: `whole` if it is buffered completely, else `stream`. */
@@ -138,6 +140,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.req.onProgress?.();
     if (this.stream !== undefined) {
       if (!this.stream.write(chunk)) controller.pause();
       return;
