--- a/packages/node/src/sidecar/sidecar_node.ts
+++ b/packages/node/src/sidecar/sidecar_node.ts
@@ -178,6 +178,11 @@
     return this.control.configVersion;
   }
 
+  /** Time since the store's newest answer for the configuration in force that this node knows of, milliseconds. */
+  get configConfirmedMs(): number {
+    return Math.round(this.control.confirmation.ageMs);
+  }
+
   get peerCount(): number {
     return this.control.reachable().length - 1;
   }
