--- a/packages/bench/src/processes/soak.ts
+++ b/packages/bench/src/processes/soak.ts
@@ -350,6 +350,8 @@
         return;
       case 'storeCut':
         return this.cutStore(vm, durationMs);
+      case 'storeSilentToOthers':
+        return this.silenceStore(vm, durationMs);
     }
   }
 
@@ -452,6 +454,20 @@
     disturbance.to = this.now();
   }
 
+  private async silenceStore(
+    served: SoakVm,
+    durationMs: number,
+  ): Promise<void> {
+    const others = this.vms.filter(vm => vm !== served);
+    const disturbances = others.map(vm =>
+      this.disturb(vm, 'storeCut', durationMs),
+    );
+    others.forEach(vm => vm.setStoreSilent(true));
+    await sleep(durationMs);
+    others.forEach(vm => vm.setStoreSilent(false));
+    for (const disturbance of disturbances) disturbance.to = this.now();
+  }
+
   private changeConfig(): void {
     this.movingService = this.movingService === 'orders' ? 'booking' : 'orders';
     this.writeConfig();
--- a/packages/bench/src/processes/soak_plan.ts
+++ b/packages/bench/src/processes/soak_plan.ts
@@ -31,7 +31,9 @@
   | 'serverLinkReset'
   | 'serverLinkSilent'
   | 'storeSilent'
-  | 'storeCut';
+  | 'storeCut'
+  /** The store never answers the nodes but for one. */
+  | 'storeSilentToOthers';
 
 /** One action of a plan. */
 export interface SoakAction {
@@ -80,6 +82,7 @@
   'serverLinkSilent',
   'storeSilent',
   'storeCut',
+  'storeSilentToOthers',
 ];
 const ANSWER_FAULTS: readonly AnswerFault[] = [
   'lost',
--- a/packages/bench/src/processes/soak_vm.ts
+++ b/packages/bench/src/processes/soak_vm.ts
@@ -180,6 +180,11 @@
     this.storeRelay.retarget({host: '127.0.0.1', port});
   }
 
+  /** Sets whether the store never answers the node, on open and new connections. */
+  setStoreSilent(isSilent: boolean): void {
+    this.storeRelay.setSilent(isSilent);
+  }
+
   cutStoreLink(isCut: boolean): void {
     this.storeRelay.disconnect(isCut);
   }
--- a/packages/test-utils/src/tcp_relay.ts
+++ b/packages/test-utils/src/tcp_relay.ts
@@ -13,6 +13,7 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private refusing = false;
+  private silent = false;
 
   private target: RelayTarget;
 
@@ -36,6 +37,12 @@
     }
   }
 
+  /** While silent, forwards nothing: open connections stall for good, and new ones until they are closed. */
+  setSilent(silent: boolean): void {
+    this.silent = silent;
+    if (silent) this.stall();
+  }
+
   /** Closes the open connections and forwards new ones to another target. */
   retarget(target: RelayTarget): void {
     this.target = target;
@@ -58,6 +65,12 @@
       socket.destroy();
       return;
     }
+    if (this.silent) {
+      this.sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+      socket.on('close', () => this.sockets.delete(socket));
+      return;
+    }
     const target = connect(this.target);
     this.link(socket, target);
     this.link(target, socket);
