--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -170,7 +170,7 @@
     this.readDelay.wake();
   }
 
-  // A watch continues from what a read has returned; a silent watch does not delay the reads.
+  // Reads and watches run side by side, so that a silent watch delays no read.
   private async readIfDue(): Promise<Millis> {
     const {breaker, timers} = this.options;
     const dueMs = this.msUntilRead();
@@ -178,12 +178,12 @@
     const now = timers.now();
     if (!breaker.allows(now)) return breaker.waitMs(now);
     if (this.held === undefined && this.options.acceptsStale)
-      return this.readStale();
+      return this.read('staleRead');
     const isWatcher = this.options.isWatcher();
     // Most nodes only find out whether the store answers again, which costs less than a read of the newest state.
     if (!isWatcher && !this.isStoreReachable && !(await this.probe()))
       return breaker.waitMs(timers.now());
-    return this.readNewest();
+    return this.read('read');
   }
 
   private msUntilRead(): Millis {
@@ -194,30 +194,19 @@
     return lacksObject && isWatcher() ? 0 : msUntilRead();
   }
 
-  private async readNewest(): Promise<Millis> {
+  private async read(source: 'read' | 'staleRead'): Promise<Millis> {
     const {timers, store, path, onAnswer} = this.options;
     const askedAt = timers.now();
-    const read = await store.get(path);
+    const read = await store.get(path, {stale: source === 'staleRead'});
     if (this.closed) return 0;
     if (read.isErr()) return this.recordNoAnswer();
     this.recordReachable();
-    this.applyObject(read.value, 'read', askedAt);
-    onAnswer(askedAt);
+    this.applyObject(read.value, source, askedAt);
+    if (source === 'read') onAnswer(askedAt);
     this.watchDelay.wake();
     return 0;
   }
 
-  private async readStale(): Promise<Millis> {
-    const {timers, store, path} = this.options;
-    const askedAt = timers.now();
-    const read = await store.get(path, {stale: true});
-    if (this.closed) return 0;
-    if (read.isErr()) return this.recordNoAnswer();
-    this.recordReachable();
-    this.applyObject(read.value, 'staleRead', askedAt);
-    return 0;
-  }
-
   private async probe(): Promise<boolean> {
     const {store, path} = this.options;
     const read = await store.get(path, {stale: true});
@@ -245,7 +234,7 @@
     const {renewalMs, confirmedMs} = this.options;
     this.turnShiftMs = Math.max(0, renewalMs - confirmedMs());
     if (watched.value === undefined) {
-      // This process may read the answer late.
+      // A process that stood still reads the answer late.
       onAnswer(Math.min(timers.now(), now + watchMs));
     } else {
       this.applyObject(watched.value, 'watch', now);
