Fewer calls to the store when many nodes have to read it by themselves

After a power loss of all, or with a silent store, each node that had read once by itself watched for 10 s, and each tried with a full read first.

A node watches only after a second read of its own without a confirmation by another one, and stops when another one confirms.

--- a/packages/membership/src/watch_duty.ts
+++ b/packages/membership/src/watch_duty.ts
@@ -20,13 +20,18 @@
 /** Age reported before any confirmation, milliseconds. */
 const NEVER_CONFIRMED_AGE_MS = 1_000_000_000;
 const DEFAULT_STANDBY_MS = 10_000;
+/** Answered reads in a row, without a confirmation by another node, after which a node watches. */
+const READS_TO_WATCH = 2;
+/** Time by which a confirmation of this node may seem newer when it comes back from another one, milliseconds. */
+const ECHO_MS = 250;
 
 /**
  * A few chosen nodes watch the configuration. Every answer of the store to one
  * of them confirms the configuration in force, and all messages between nodes
  * carry the age of the newest confirmation. An open watch confirms nothing, as
  * it may have gone silent. Once the age is too high, the nodes read the store
- * one after the other until it answers one of them, which then watches for a while.
+ * one after the other until it answers one of them. That one goes first the
+ * next time and then watches for a while, unless another node confirms.
  */
 export class WatchDuty {
   private chosen = false;
@@ -42,6 +47,10 @@
   private standbyUntil: Millis = -Infinity;
   private turnDelayMs = 0;
   private wasConfirmed = false;
+  /** Time as of which the store answered this node last. */
+  private answeredAt: Millis = -Infinity;
+  /** Reads that were answered since another node's last confirmation and were due because there was none. */
+  private ownReads = 0;
 
   constructor(
     now: Millis,
@@ -80,7 +89,10 @@
   /** Records that another node has a confirmation. */
   recordConfirmation(now: Millis, {revision, ageMs}: Confirmation): void {
     const at = now - Math.max(0, ageMs);
-    if (revision === this.heldRevision) this.confirm(at);
+    if (revision === this.heldRevision) {
+      this.confirm(at);
+      if (at > this.answeredAt + ECHO_MS) this.yieldToOthers();
+    }
     if (revision <= this.heldRevision) return;
     const {pending} = this;
     if (
@@ -93,12 +105,14 @@
 
   /** Records that the store answered this node, which has put what it returned into force. `asOf` is the time whose state it returned. */
   recordAnswer(now: Millis, asOf: Millis): void {
-    // A node that has just started was not the first to miss the others' confirmations.
-    const replacesWatchers = this.wasConfirmed && this.msUntilRead(now) === 0;
-    if (replacesWatchers && !this.isWatcher(now)) {
+    // The first read after a start is due anyway.
+    const isOwnRead = this.wasConfirmed && this.msUntilRead(now) === 0;
+    if (isOwnRead && !this.isWatcher(now)) {
       const {standbyMs = DEFAULT_STANDBY_MS} = this.options;
-      this.standbyUntil = now + standbyMs;
+      this.ownReads++;
+      if (this.ownReads >= READS_TO_WATCH) this.standbyUntil = now + standbyMs;
     }
+    this.answeredAt = asOf;
     this.confirm(asOf);
   }
 
@@ -120,13 +134,18 @@
   /** Time until this node is to read the store by itself if no newer confirmation arrives, milliseconds. */
   msUntilRead(now: Millis): Millis {
     const {maxAgeMs} = this.options;
-    // The store has answered a node that replaced the watchers until now.
-    const isFirst = now < this.standbyUntil + 2 * maxAgeMs;
-    const delayMs = isFirst ? 0 : this.turnDelayMs;
+    // A node that the store has just answered goes first.
+    const delayMs = this.ownReads > 0 ? 0 : this.turnDelayMs;
     const dueAt = this.confirmedAt + maxAgeMs + delayMs;
     return Math.max(0, dueAt - now, this.holdOffUntil - now);
   }
 
+  // Another node watches, so that this one need not.
+  private yieldToOthers(): void {
+    this.ownReads = 0;
+    this.standbyUntil = -Infinity;
+  }
+
   private confirm(at: Millis): void {
     this.wasConfirmed = true;
     this.confirmedAt = Math.max(this.confirmedAt, at);
--- a/packages/membership/src/watch_duty_test.ts
+++ b/packages/membership/src/watch_duty_test.ts
@@ -80,14 +80,28 @@
       1_000,
     ]);
     duty.recordAnswer(2_500, 2_490);
-    expect([duty.isWatcher(2_500), duty.isWatcher(12_499)]).toEqual([
+    expect(duty.isWatcher(2_500)).toBe(false);
+    // It is the first to read again, as the store has answered it.
+    expect(duty.msUntilRead(3_490)).toBe(0);
+    duty.recordAnswer(3_500, 3_490);
+    expect([duty.isWatcher(3_500), duty.isWatcher(13_499)]).toEqual([
       true,
       true,
     ]);
-    expect(duty.isWatcher(12_500)).toBe(false);
-    // It is the first to read again, as the store has answered it.
-    duty.recordAnswer(12_400, 12_400);
-    expect(duty.msUntilRead(13_400)).toBe(0);
+    expect(duty.isWatcher(13_500)).toBe(false);
+  });
+
+  // Guards against nodes that all keep watching after each had to read by itself once.
+  it('a node that replaces the watchers stops when another node confirms', () => {
+    const duty = newDuty();
+    hear(duty, 0, 0);
+    duty.recordAnswer(1_000, 1_000);
+    duty.recordAnswer(2_000, 2_000);
+    // Its own confirmation comes back from another node.
+    hear(duty, 2_100, 50);
+    expect(duty.isWatcher(2_100)).toBe(true);
+    hear(duty, 2_600, 100);
+    expect(duty.isWatcher(2_600)).toBe(false);
   });
 
   it('an older confirmation does not replace a newer one', () => {
--- a/packages/node/src/config/config_follower.ts
+++ b/packages/node/src/config/config_follower.ts
@@ -76,8 +76,6 @@
 const MAX_WATCH_MS = 25_000;
 /** Delay before the first read is repeated if the object does not exist, milliseconds. */
 const ABSENT_RETRY_DELAY_MS = 2_000;
-/** Length of the watch of a node that replaces the chosen watchers, in renewal intervals. */
-const STANDBY_WATCH_INTERVALS = 2;
 
 /** Keeps the configuration in force and replaces it only by ones of a higher version. */
 export class ConfigFollower<T> {
@@ -179,10 +177,10 @@
     if (!breaker.allows(now)) return breaker.waitMs(now);
     if (this.held === undefined && this.options.acceptsStale)
       return this.read('staleRead');
-    const isWatcher = this.options.isWatcher();
-    // Most nodes only find out whether the store answers again, which costs less than a read of the newest state.
-    if (!isWatcher && !this.isStoreReachable && !(await this.probe()))
-      return breaker.waitMs(timers.now());
+    const isFirstRead = this.held === undefined && this.isStoreReachable;
+    const isProbed = !isFirstRead && !this.options.isWatcher();
+    // Many nodes may find out that the store answers nobody, by calls that cost less than a read of the newest state.
+    if (isProbed && !(await this.probe())) return breaker.waitMs(timers.now());
     return this.read('read');
   }
 
@@ -270,11 +268,11 @@
   private watchMs(): Millis {
     const {renewalMs} = this.options;
     const {count, rank} = this.options.watchers();
-    const turns = rank === undefined ? STANDBY_WATCH_INTERVALS : rank + 1;
     const isInRound = this.hasTurn && rank !== undefined;
+    // A node that replaces the watchers is mostly the only one.
     const watchMs = isInRound
       ? count * renewalMs + this.turnShiftMs
-      : turns * renewalMs;
+      : ((rank ?? 0) + 1) * renewalMs;
     return Math.min(MAX_WATCH_MS, watchMs);
   }
 
