--- a/packages/membership/src/watch_duty_test.ts
+++ b/packages/membership/src/watch_duty_test.ts
@@ -29,6 +29,20 @@
     ]);
   });
 
+  it('a chosen node that the store does not answer confirms nothing and goes on reading', () => {
+    const duty = newDuty();
+    duty.setChosen(true);
+    duty.recordAnswer(4_000, 4_000);
+    duty.recordFailure(5_500);
+    expect([
+      duty.isWatcher(6_000),
+      ageOf(duty, 6_000),
+      duty.msUntilRead(6_000),
+    ]).toEqual([true, 2_000, 0]);
+    duty.recordAnswer(7_000, 7_000);
+    expect(ageOf(duty, 7_500)).toBe(500);
+  });
+
   it('a node with recent confirmations of others neither watches nor reads', () => {
     const duty = newDuty();
     for (let now = 0; now <= 10_000; now += 500) hear(duty, now, 300);
