--- a/review/tried-2/small-chunks/run.mjs
+++ b/review/tried-2/small-chunks/run.mjs
@@ -45,7 +45,7 @@
   const results = [];
   for (const node of fleet.nodes) {
     const agent = new Agent({keepAlive: true, maxSockets: 1});
-    for (let i = 0; i < 5; i++) results.push(await fetchReport(fleet, node, agent, chunk));
+    for (let i = 0; i < 2; i++) results.push(await fetchReport(fleet, node, agent, chunk));
     agent.destroy();
   }
   await sleep(300);
