review: each case reads TROUBLE itself

Cause: the cases left it to lib-2, so a reader of a case could not see that TROUBLE=0 takes the disruption out.

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -6,6 +6,8 @@
 import {runCase, sleep} from '../lib-2/fleet.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0';
 const TIMEOUT_MS = 1_000;
 const SLACK_MS = 500;
 const paths = [
@@ -51,7 +53,7 @@
   });
 }
 
-await runCase({folder, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async (fleet, trouble) => {
+await runCase({folder, trouble, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async fleet => {
   const [server] = fleet.servers;
   if (trouble) {
     server.isEndless = true;
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -8,6 +8,8 @@
 import {runCase, sleep} from '../lib-2/fleet.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0';
 const paths = [
   {name: 'r-stock', path_prefix: '/stock/', type: 'idempotent', timeout: '800ms', target_latency: '300ms', priority: 2, service: 'catalogo', attempts: 2},
 ];
@@ -19,7 +21,7 @@
 /** The server serves so long after the ack. */
 const SERVES_MS = 12_000;
 
-await runCase({folder, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async (fleet, trouble) => {
+await runCase({folder, trouble, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async fleet => {
   const [server] = fleet.servers;
   const startedAt = Date.now();
   const at = ms => sleep(Math.max(0, startedAt + ms - Date.now()));
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -210,11 +210,13 @@
   }
 }
 
-/** Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export async function runCase(options, play) {
+/**
+ * Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run. `trouble`
+ * says whether the disruption takes place.
+ */
+export async function runCase({trouble, ...options}, play) {
   let fleet;
   let code = 2;
-  const trouble = process.env.TROUBLE !== '0';
   const children = new Set();
   // No process stays behind if the case itself fails or is stopped.
   process.on('exit', () => {
@@ -228,7 +230,7 @@
   });
   try {
     fleet = await Fleet.start({...options, children});
-    const broken = await play(fleet, trouble);
+    const broken = await play(fleet);
     code = broken ? 1 : 0;
     fleet.record({what: 'result', trouble, broken});
   } catch (err) {
--- a/review/tried-2/memory/run.mjs
+++ b/review/tried-2/memory/run.mjs
@@ -9,6 +9,8 @@
 import {runCase, sleep} from '../../lib-2/fleet.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0';
 const paths = [
   {name: 'r-order', path_prefix: '/order/', type: 'non_idempotent', timeout: '1000ms', target_latency: '300ms', priority: 1, service: 'catalogo', attempts: 2},
   {name: 'r-report', path_prefix: '/report/', type: 'idempotent', timeout: '3000ms', target_latency: '800ms', priority: 2, service: 'catalogo', attempts: 2},
@@ -46,7 +48,7 @@
   };
 }
 
-await runCase({folder, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async (fleet, trouble) => {
+await runCase({folder, trouble, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async fleet => {
   const [node] = fleet.nodes;
   const memory = limitMemory(fleet);
   const clients = await Promise.all(Array.from({length: CLIENTS}, () => new Client(fleet, node).open()));
--- a/review/tried-2/small-chunks/run.mjs
+++ b/review/tried-2/small-chunks/run.mjs
@@ -6,6 +6,8 @@
 import {runCase, sleep} from '../../lib-2/fleet.mjs';
 
 const folder = dirname(fileURLToPath(import.meta.url));
+/** With TROUBLE=0 the script does the same without the disruption. */
+const trouble = process.env.TROUBLE !== '0';
 const paths = [
   {name: 'r-report', path_prefix: '/report/', type: 'idempotent', timeout: '10000ms', target_latency: '3000ms', priority: 1, service: 'catalogo', attempts: 2},
 ];
@@ -40,7 +42,7 @@
   });
 }
 
-await runCase({folder, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async (fleet, trouble) => {
+await runCase({folder, trouble, machines: ['catalogo', 'catalogo', 'catalogo'], paths}, async fleet => {
   const chunk = trouble ? SMALL_CHUNK : LARGE_CHUNK;
   const results = [];
   for (const node of fleet.nodes) {
