--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -25,7 +25,7 @@
 );
 const READY_MS = 10_000;
 
-/** Bounds and machine of the small sites (mantas-pedidos, lttc-mesh). */
+/** Bounds and machine of mantas-pedidos. */
 export const BOUNDS = {
   seed_lag: '3s',
   reuse_after: '2s',
